--- /dev/null
+++ b/ternquay/balance.py
@@ -0,0 +1,720 @@
+"""All decisions of ternquay, for one balancer.
+
+    balancer = Balancer(started)             # a model.Started: the seed and what is told of the deployment
+    actions = balancer.decide(now, event)    # whole nanoseconds, a model.Event -> a list of model.Action
+
+The types of both sides stand in ternquay/model.py; the front that feeds them is ternquay/wirehost/. The
+design (PAT, docs/design.md) decides the ordinary path; `_send` and `_finish` guard the four rules.
+"""
+
+from collections import deque
+from hashlib import blake2b
+from heapq import heappop, heappush
+from math import log
+from random import Random
+
+from ternquay import model as m
+
+MS, SECOND = 1_000_000, 1_000_000_000
+MASK = (1 << 64) - 1
+
+# The table of the design page.
+RANGES, GROUPS = 8192, 512
+BETA, GAMMA = 2 / 3, 1.5
+WINDOW, REPLACE_EVERY = 4096, 512
+HOT_SHARE, HOT_LEAST = 0.05, 8
+SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
+OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
+PLACES = 4  # groups looked at for a spill
+
+# Health and further hops.
+FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 3, SECOND, 8 * SECOND, 0.4
+EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
+PATIENCE_DEV, PATIENCE_PART = 4.0, 0.45
+FULL_REST = 100 * MS
+
+# Admission, the origin, cold cache hosts, the list.
+IN_TIME, IN_TIME_OVER, FADE = 0.9, 0.4, SECOND
+ORIGIN_START, ORIGIN_LATE = 24.0, 0.5
+COLD_MARGIN, WARM_PART = 1.0, 0.8
+BACKOFF = 100 * MS
+ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
+TICK = SECOND // 4
+
+
+def mix(x: int) -> int:
+    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
+    return x ^ (x >> 31)
+
+
+def text_hash(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+class Range:
+    """A slice of the hashed keys, or one hot key."""
+
+    __slots__ = ("group", "count", "spill")
+
+    def __init__(self, group: int) -> None:
+        self.group = group
+        self.count = 0
+        self.spill = -1
+
+
+class CacheHost:
+    """What this balancer holds of one cache host, or of the origin."""
+
+    __slots__ = ("index", "hash", "weight", "zone", "cell", "since", "standing", "is_origin", "inflight",
+                 "fails", "out_until", "out_for", "trial", "full_until", "took", "crowd", "seen", "cold_sent")
+
+    def __init__(self, line: m.Listed, is_origin: bool) -> None:
+        self.index = line.host
+        self.hash = text_hash(line.address)
+        self.is_origin = is_origin
+        self.inflight = 0
+        self.zone, self.cell, self.standing = line.zone, line.cell, line.standing
+        self.weight = 1.0
+        self.restart(line)
+
+    def restart(self, line: m.Listed) -> None:
+        self.since = line.since
+        self.fails = self.out_until = self.full_until = self.seen = 0
+        self.out_for = OUT_FIRST
+        self.trial = False
+        self.took = self.crowd = 0.0
+        self.cold_sent: deque[int] = deque()
+
+
+class Hop:
+    __slots__ = ("host", "sent", "out", "judged", "crowd")
+
+    def __init__(self, host: CacheHost, sent: int) -> None:
+        self.host = host
+        self.sent = sent
+        self.out = True
+        self.judged = False
+        self.crowd = host.inflight
+
+
+class Tx:
+    __slots__ = ("id", "profile", "kind", "key", "range", "write", "over", "goal", "give_up", "hops", "out",
+                 "ended", "ran_at", "ran_on", "leads", "missed")
+
+    def __init__(self, index: int, profile: m.Profile, write: bool) -> None:
+        self.id = index
+        self.profile = profile
+        self.kind = profile.kind
+        self.write = write
+        self.key = 0
+        self.range: Range | None = None
+        self.over = False
+        self.hops: list[Hop] = []
+        self.out = 0
+        self.ended = False
+        self.ran_at = 0  # when the first hop was sent that may have run; 0: none may have
+        self.ran_on: CacheHost | None = None
+        self.leads = False  # its hop at the origin is the one that others with its key wait for
+        self.missed: CacheHost | None = None
+        self.goal = self.give_up = 0
+
+
+class Balancer:
+    def __init__(self, started: m.Started) -> None:
+        self.start = started
+        self.random = Random(started.seed)
+        self.actions: list[m.Action] = []
+        self.now = 0
+        self.hosts: dict[int, CacheHost] = {}
+        self.ready: list[CacheHost] = []
+        self.origin: CacheHost | None = None
+        self.orders: dict[int, list[tuple[CacheHost, float]]] = {}
+        self.inflight = 0
+        self.txs: dict[int, Tx] = {}
+        self.heap: list[tuple[int, int, int]] = []
+        self.heap_seq = 0
+        self.timer_at = 0
+        self.ask_wait, self.ask_at, self.asked = ASK_FIRST, 0, False
+        self.ranges: dict[int, Range] = {}
+        self.singles: dict[int, Range] = {}
+        self.window: deque[int] = deque()
+        self.key_counts: dict[int, int] = {}
+        self.loads = [0] * GROUPS
+        self.changed: dict[int, None] = {}
+        self.until_replace = REPLACE_EVERY
+        self.took = [0.0] * len(started.profiles)
+        self.dev = [0.0] * len(started.profiles)
+        self.least_ttl = [0] * len(started.profiles)
+        self.profile_index = {id(p): i for i, p in enumerate(started.profiles)}
+        self.extra = EXTRA_MOST
+        self.shares = [q / started.balancers for q in started.quotas]
+        self.share_left = list(self.shares)
+        self.share_at = [0] * len(self.shares)
+        self.fetching: dict[int, list[Tx]] = {}
+        self.origin_queue: deque[Tx] = deque()
+        self.origin_limit, self.origin_took, self.origin_cut = ORIGIN_START, 0.0, 0
+        self.sent_count, self.unit_rate, self.tick_at = 0, 0.0, 0
+        self.margin = started.quantum + 2 * MS
+
+    def decide(self, now: int, event: m.Event) -> list[m.Action]:
+        self.now = now
+        self.actions = []
+        if isinstance(event, m.TxArrived):
+            self._arrived(event)
+        elif isinstance(event, m.HopEnded):
+            self._hop_ended(event)
+        elif isinstance(event, m.TimerFired):
+            self._timer_fired()
+        elif isinstance(event, m.TxGone):
+            tx = self.txs.get(event.tx)
+            if tx is not None and not tx.ended:
+                self._close(tx)
+        elif isinstance(event, m.ListChanged):
+            self._list_changed(event)
+        elif isinstance(event, m.ListLost):
+            self._list_lost()
+        self._set_timer()
+        return self.actions
+
+    # ---- the list ----
+
+    def _list_changed(self, event: m.ListChanged) -> None:
+        named = {line.host for line in event.lines}
+        if event.whole:
+            for host in self.hosts.values():
+                if host.index not in named:
+                    host.standing = m.Standing.GONE
+        for line in event.lines:
+            self._listed(line)
+        self.orders = {}
+        up = [h for h in self.hosts.values() if h.standing is m.Standing.READY]
+        self.ready = [h for h in up if not h.is_origin]
+        self.origin = next((h for h in up if h.is_origin), None)
+        self.ask_wait = ASK_FIRST
+        if self.start.watch_list and not self.asked:
+            self.asked = True
+            self.actions.append(m.WatchList())
+        if not self.tick_at:
+            self.tick_at = self.now
+            self._wake(self.now + TICK, -1)
+
+    def _listed(self, line: m.Listed) -> None:
+        host = self.hosts.get(line.host)
+        if host is None:
+            is_origin = self.start.aside and line.kind == self.start.origin_kind
+            host = self.hosts[line.host] = CacheHost(line, is_origin)
+        elif line.since != host.since and line.standing is m.Standing.READY:
+            host.restart(line)
+        host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
+        host.weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
+
+    def _list_lost(self) -> None:
+        # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
+        if self.start.watch_list:
+            self._wake(self.now + self.ask_wait + self.random.randrange(self.ask_wait), -2)
+            self.ask_wait = min(ASK_MOST, self.ask_wait * 2)
+
+    # ---- timers ----
+
+    def _wake(self, at: int, what: int) -> None:
+        heappush(self.heap, (at, self.heap_seq, what))
+        self.heap_seq += 1
+
+    def _set_timer(self) -> None:
+        heap = self.heap
+        while heap and heap[0][2] >= 0 and heap[0][2] not in self.txs:
+            heappop(heap)
+        if heap and (not self.timer_at or heap[0][0] < self.timer_at):
+            self.timer_at = max(heap[0][0], self.now + 1)
+            self.actions.append(m.SetTimer(self.timer_at))
+
+    def _timer_fired(self) -> None:
+        if self.now >= self.timer_at:
+            self.timer_at = 0
+        while self.heap and self.heap[0][0] <= self.now:
+            what = heappop(self.heap)[2]
+            if what == -1:
+                self._tick()
+            elif what == -2:
+                self.actions.append(m.WatchList())
+            else:
+                tx = self.txs.get(what)
+                if tx is not None and not tx.ended:
+                    self._tx_due(tx)
+
+    def _tick(self) -> None:
+        passed = self.now - self.tick_at
+        self.tick_at = self.now
+        whole = sum(h.weight for h in self.ready)
+        warm = sum(h.weight for h in self.ready if self._warmth(h) >= 1.0)
+        # What a mostly cold fleet is sent must not pass for what warm cache hosts can do: the figure is frozen.
+        if passed > 0 and warm > 0 and warm >= WARM_PART * whole:
+            rate = self.sent_count * SECOND / passed / warm
+            self.unit_rate += (rate - self.unit_rate) * (0.1 if self.unit_rate else 1.0)
+        self.sent_count = 0
+        self._wake(self.now + TICK, -1)
+
+    def _tx_due(self, tx: Tx) -> None:
+        if self.now >= tx.give_up:
+            self._finish(tx)
+        elif tx.out:
+            self._hop_late(tx)
+
+    # ---- the table of ranges ----
+
+    def _range_of(self, key: int) -> Range:
+        found = self.singles.get(key)
+        if found is None:
+            number = key * RANGES >> 64
+            found = self.ranges.get(number)
+            if found is None:
+                found = self.ranges[number] = Range(mix(number + 1) % GROUPS)
+        return found
+
+    def _count(self, key: int) -> Range:
+        rng = self._range_of(key)
+        rng.count += 1
+        self.loads[rng.group] += 1
+        self.key_counts[key] = self.key_counts.get(key, 0) + 1
+        self.changed[key] = None
+        self.window.append(key)
+        if len(self.window) > WINDOW:
+            self._forget(self.window.popleft())
+        self.until_replace -= 1
+        if self.until_replace <= 0:
+            self.until_replace = REPLACE_EVERY
+            self._replace()
+        return rng
+
+    def _forget(self, key: int) -> None:
+        rng = self._range_of(key)
+        rng.count -= 1
+        self.loads[rng.group] -= 1
+        left = self.key_counts[key] - 1
+        if left:
+            self.key_counts[key] = left
+        else:
+            del self.key_counts[key]
+
+    def _replace(self) -> None:
+        self._split_hot()
+        seen: dict[int, Range] = {}
+        for key in self.changed:
+            rng = self._range_of(key)
+            seen[id(rng)] = rng
+        self.changed = {}
+        for rng in seen.values():
+            self._place(rng)
+
+    def _split_hot(self) -> None:
+        counts = self.key_counts
+        ranked = sorted(((n, k) for k, n in counts.items() if n >= HOT_LEAST), reverse=True)
+        hot = {k for _, k in ranked[: int(len(counts) * HOT_SHARE) + 1]}
+        for key in [k for k in self.singles if k not in hot]:
+            self._shift(key, self.singles.pop(key), self._range_of(key))
+        for key in [k for _, k in ranked if k in hot and k not in self.singles]:
+            parent = self._range_of(key)
+            single = self.singles[key] = Range(parent.group)
+            self._shift(key, parent, single)
+
+    def _shift(self, key: int, old: Range, new: Range) -> None:
+        count = self.key_counts.get(key, 0)
+        old.count -= count
+        new.count += count
+        self.loads[old.group] -= count
+        self.loads[new.group] += count
+
+    def _gain(self, affinity: int, load: int) -> float:
+        return BETA * affinity - (1 - BETA) * GAMMA * load ** (GAMMA - 1)
+
+    def _place(self, rng: Range) -> None:
+        self.loads[rng.group] -= rng.count
+        lightest = min(self.loads)
+        if self._gain(0, lightest) > self._gain(rng.count, self.loads[rng.group]):
+            ties = [g for g, load in enumerate(self.loads) if load == lightest]
+            rng.group = self.random.choice(ties)
+            rng.spill = -1
+        self.loads[rng.group] += rng.count
+
+    # ---- from group to cache host ----
+
+    def _order(self, group: int) -> list[tuple[CacheHost, float]]:
+        order = self.orders.get(group)
+        if order is None:
+            ranked = []
+            for host in self.ready:
+                drawn = mix(host.hash ^ mix(group + 1))
+                ranked.append((-host.weight / log((drawn + 1) / (MASK + 2)), host.index, host))
+            ranked.sort(key=lambda r: (r[0], r[1]), reverse=True)
+            order = [(h, mix(h.hash + mix(group + 7)) / MASK) for _, _, h in ranked]
+            self.orders[group] = order
+        return order
+
+    def _warmth(self, host: CacheHost) -> float:
+        start = self.start
+        age = self.now - host.since
+        if not host.since or age >= start.warm_within:
+            return 1.0
+        return start.cold_share + (1 - start.cold_share) * max(0, age) / start.warm_within
+
+    def _usable(self, host: CacheHost) -> bool:
+        if host.out_until > self.now:
+            return False
+        return not (host.trial and host.inflight)
+
+    def _servers(self, group: int, most: int, skip: list[Hop]) -> list[CacheHost]:
+        found: list[CacheHost] = []
+        for host, draw in self._order(group):
+            if any(hop.host is host for hop in skip) or not self._usable(host):
+                continue
+            # Against a cold cache host that gets its full part at once: of the groups it ranks highest for,
+            # it takes those whose draw lies under its warmth, so they come back one by one and stay.
+            if draw <= self._warmth(host):
+                found.append(host)
+                if len(found) >= most:
+                    break
+        return found
+
+    def _crowded(self, host: CacheHost) -> bool:
+        mean = self.inflight / max(1, len(self.ready))
+        return host.full_until > self.now or host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR
+
+    def _copies(self, rng: Range) -> int:
+        share = rng.count / max(1, len(self.window))
+        return 1 + int(share * len(self.ready) * SPREAD)
+
+    def _choose(self, tx: Tx) -> CacheHost | None:
+        rng = tx.range
+        if rng is None:
+            pool = [h for h in self.ready if self._usable(h) and not any(hop.host is h for hop in tx.hops)]
+            pair = [self.random.choice(pool), self.random.choice(pool)] if pool else []
+            return min(pair, key=lambda h: h.inflight) if pair else None
+        places = self._servers(rng.group, self._copies(rng), tx.hops)
+        for host in sorted(places, key=lambda h: h.inflight / h.weight):
+            if not self._crowded(host) and self._in_time(tx, host) and self._cold_room(host):
+                return host
+        spilled = self._spill(tx, rng)
+        if spilled is not None:
+            return spilled
+        for host in places:
+            if self._in_time(tx, host) and self._cold_room(host):
+                return host
+        return None
+
+    def _spill(self, tx: Tx, rng: Range) -> CacheHost | None:
+        for group in self._next_groups(rng):
+            for host in self._servers(group, 1, tx.hops):
+                if not self._crowded(host) and self._in_time(tx, host) and self._cold_room(host):
+                    rng.spill = group
+                    return host
+        return None
+
+    def _next_groups(self, rng: Range) -> list[int]:
+        # The place of the last spill counts as affinity: its server holds the copies that the spill left.
+        best = [] if rng.spill < 0 else [rng.spill]
+        loads = self.loads
+        picked = [self.random.randrange(GROUPS) for _ in range(PLACES * 4)]
+        picked.sort(key=lambda g: loads[g])
+        return best + [g for g in picked if g != rng.group][:PLACES]
+
+    # ---- predictions ----
+
+    def _predicted(self, host: CacheHost) -> float:
+        if not host.seen:
+            return 0.0
+        guess = host.took * (1 + host.inflight) / (1 + host.crowd)
+        # Against an estimate that keeps everything away and so never mends: it fades with its age.
+        age = self.now - host.seen
+        return guess if age < FADE else guess * FADE / age
+
+    def _in_time(self, tx: Tx, host: CacheHost) -> bool:
+        part = IN_TIME_OVER if tx.over else IN_TIME
+        return self._predicted(host) <= part * (tx.goal - self.now)
+
+    def _patience(self, tx: Tx) -> int:
+        i = self.profile_index[id(tx.profile)]
+        most = int(PATIENCE_PART * tx.profile.service_goal)
+        if not self.took[i]:
+            return most
+        return min(most, int(self.took[i] + PATIENCE_DEV * self.dev[i]) + self.start.quantum)
+
+    # ---- a transaction ----
+
+    def _arrived(self, e: m.TxArrived) -> None:
+        profile = self.start.profiles[e.profile]
+        tx = self.txs[e.tx] = Tx(e.tx, profile, e.write)
+        spent = self._spent(e, profile)
+        end = self.now + e.ttl - self.margin
+        tx.goal = self.now + profile.service_goal - spent - self.margin
+        if profile.overdue_revenue > 0:
+            tx.goal = max(tx.goal, min(end, self.now + profile.service_goal // 2))
+            tx.give_up = end
+        else:
+            tx.give_up = min(tx.goal, end)
+        self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
+        if 0 <= e.tenant < len(self.shares):
+            tx.over = self._over_share(e.tenant)
+        if e.key is not None:
+            tx.key = text_hash(e.key)
+            tx.range = self._count(tx.key)
+        if tx.give_up <= self.now:
+            self._finish(tx)
+            return
+        self._wake(tx.give_up, tx.id)
+        self._route(tx)
+
+    def _spent(self, e: m.TxArrived, profile: m.Profile) -> int:
+        # A try shorter than the profile's usual one is cut by the hard limit: it tells how long it waits.
+        usual = self.least_ttl[e.profile]
+        if not e.again:
+            self.least_ttl[e.profile] = max(usual, e.ttl)
+            return 0
+        return profile.hard_limit - e.ttl if e.ttl < usual - MS else 0
+
+    def _over_share(self, tenant: int) -> bool:
+        rate = self.shares[tenant]
+        left = self.share_left[tenant] + rate * (self.now - self.share_at[tenant]) / SECOND
+        self.share_at[tenant] = self.now
+        over = left < 1.0
+        self.share_left[tenant] = min(rate, left) - (0.0 if over else 1.0)
+        return over
+
+    def _route(self, tx: Tx) -> None:
+        if self.start.aside:
+            if tx.write:
+                self._ask_origin(tx)
+                return
+            if tx.range is not None and tx.key in self.fetching:
+                self.fetching[tx.key].append(tx)
+                return
+        host = self._choose(tx)
+        if host is None or not self._send(tx, host, self._not_past(tx)):
+            self._finish(tx)
+
+    def _not_past(self, tx: Tx) -> int:
+        if self.start.parallel or tx.kind is m.Kind.NON_IDEMPOTENT:
+            return tx.give_up
+        return min(tx.give_up, self.now + self._patience(tx))
+
+    def _hop_late(self, tx: Tx) -> None:
+        for hop in tx.hops:
+            if hop.out and not hop.judged and not hop.host.is_origin:
+                hop.judged = True
+                self._failed_once(hop.host)
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or tx.hops[-1].host.is_origin:
+            return
+        if tx.kind is m.Kind.NON_IDEMPOTENT:
+            return
+        host = self._choose(tx)
+        if host is not None and self._send(tx, host, tx.give_up):
+            self.extra -= 1
+
+    def _hop_ended(self, e: m.HopEnded) -> None:
+        tx = self.txs.get(e.tx)
+        if tx is None or e.hop >= len(tx.hops) or not tx.hops[e.hop].out:
+            return
+        hop = tx.hops[e.hop]
+        hop.out = False
+        tx.out -= 1
+        hop.host.inflight -= 1
+        if not hop.host.is_origin:
+            self.inflight -= 1
+        self._judge(tx, hop, e)
+        if e.closed and not tx.ended:
+            self._close(tx)
+        elif not tx.ended:
+            if e.end > m.End.MISS and not tx.ran_at:
+                tx.ran_at, tx.ran_on = hop.sent, hop.host
+            self._go_on(tx, hop, e.end)
+        elif not tx.out:
+            self.txs.pop(tx.id, None)
+        if hop.host.is_origin:
+            self._drain_origin()
+
+    def _go_on(self, tx: Tx, hop: Hop, end: m.End) -> None:
+        if tx.out:
+            return
+        if self.now >= tx.give_up:
+            self._finish(tx)
+        elif end is m.End.MISS and not hop.host.is_origin:
+            tx.missed = tx.missed or hop.host
+            self._fetch(tx)
+        elif self.extra < 1 or hop.host.is_origin:
+            self._finish(tx)
+        else:
+            self.extra -= 1
+            self._route(tx)
+
+    # ---- the origin ----
+
+    def _fetch(self, tx: Tx) -> None:
+        waiting = self.fetching.get(tx.key)
+        if waiting is not None and tx.range is not None:
+            waiting.append(tx)
+            return
+        self.fetching[tx.key] = []
+        tx.leads = True
+        self._ask_origin(tx)
+
+    def _ask_origin(self, tx: Tx) -> None:
+        origin = self.origin
+        if origin is None:
+            self._finish(tx)
+        elif origin.inflight < self.origin_limit and not self.origin_queue:
+            if not self._send(tx, origin, tx.give_up):
+                self._finish(tx)
+        else:
+            wait = (len(self.origin_queue) / self.origin_limit + 1) * self.origin_took
+            if self.now + wait > tx.goal or (tx.over and not tx.write):
+                self._finish(tx)
+            elif tx.write:
+                self.origin_queue.appendleft(tx)
+            else:
+                self.origin_queue.append(tx)
+
+    def _drain_origin(self) -> None:
+        while self.origin_queue and self.origin is not None and self.origin.inflight < self.origin_limit:
+            tx = self.origin_queue.popleft()
+            if not tx.ended and not self._send(tx, self.origin, tx.give_up):
+                self._finish(tx)
+
+    def _fetched(self, tx: Tx) -> None:
+        """The fetch of tx's key is over, one way or another: those that waited for it go on."""
+        waiting = [w for w in self.fetching.pop(tx.key, []) if not w.ended]
+        for other in waiting:
+            host = tx.missed
+            fresh = host is not None and self._usable(host)
+            if fresh and host is not None and self._send(other, host, self._not_past(other)):
+                continue
+            self._route(other)
+
+    def _judge_origin(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
+        if e.end is m.End.SKIPPED or e.end is m.End.CANCELLED:
+            return
+        late = e.end is not m.End.DONE or e.took > ORIGIN_LATE * tx.profile.service_goal
+        if e.end is m.End.DONE:
+            self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
+        if not late:
+            self.origin_limit += 1 / self.origin_limit
+        elif hop.sent >= self.origin_cut:
+            self.origin_limit = max(2.0, self.origin_limit * 0.7)
+            self.origin_cut = self.now
+
+    # ---- health ----
+
+    def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
+        host = hop.host
+        if host.is_origin:
+            self._judge_origin(tx, hop, e)
+        elif e.end is m.End.DONE:
+            self._well(tx, hop, e.took)
+        elif e.end is m.End.MISS:
+            host.fails = 0
+            host.trial = False
+        elif e.end is m.End.FULL:
+            host.full_until = self.now + FULL_REST
+        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged:
+            self._failed_once(host)
+
+    def _well(self, tx: Tx, hop: Hop, took: int) -> None:
+        host = hop.host
+        if not hop.judged:
+            host.fails = 0
+            host.trial = False
+            host.out_for = OUT_FIRST
+        step = 0.2 if host.seen and self.now - host.seen < FADE else 0.5
+        host.took += (took - host.took) * (step if host.seen else 1.0)
+        host.crowd += (hop.crowd - host.crowd) * (step if host.seen else 1.0)
+        host.seen = self.now
+        i = self.profile_index[id(tx.profile)]
+        if not self.took[i]:
+            self.took[i], self.dev[i] = float(took), took / 2
+        self.dev[i] += (abs(took - self.took[i]) - self.dev[i]) * 0.05
+        self.took[i] += (took - self.took[i]) * 0.05
+
+    def _failed_once(self, host: CacheHost) -> None:
+        host.fails += 1
+        if host.fails < (1 if host.trial else FAILS) or host.out_until > self.now:
+            return
+        # Many at once is the fleet or the origin, not many bad cache hosts: then nobody is taken out.
+        out = sum(1 for h in self.ready if h.out_until > self.now or h.trial)
+        if not host.trial and out + 1 > OUT_PART * len(self.ready):
+            return
+        host.out_until = self.now + host.out_for
+        host.out_for = min(OUT_MOST, host.out_for * 2)
+        host.trial = True
+        host.fails = 0
+
+    # ---- the guard ----
+
+    def _cold_room(self, host: CacheHost) -> bool:
+        warmth = self._warmth(host)
+        if warmth >= 1.0:
+            return True
+        sent, span = host.cold_sent, self.start.tip_window
+        while sent and sent[0] <= self.now - span:
+            sent.popleft()
+        # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
+        return len(sent) < max(1.0, COLD_MARGIN * self.unit_rate * warmth * host.weight * span / SECOND)
+
+    def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
+        first = next((hop for hop in tx.hops if hop.out), None)
+        ran_at = tx.ran_at or (first.sent if first else 0)
+        ran_on = tx.ran_on or (first.host if first else None)
+        if not ran_at or ran_on is None or tx.kind is m.Kind.IDEMPOTENT:
+            return True
+        if tx.kind is m.Kind.NON_IDEMPOTENT or self.now - ran_at >= tx.profile.memory - self.margin:
+            return False
+        scope = tx.profile.scope
+        if scope is m.Scope.ZONE:
+            return host.zone == ran_on.zone
+        return scope is m.Scope.ALL or host.cell == ran_on.cell
+
+    def _send(self, tx: Tx, host: CacheHost, not_past: int) -> bool:
+        """Every hop passes here: rule 1 (nothing after the answer), 2, 3 and 4."""
+        if tx.ended or len(tx.hops) >= self.start.most_hops or self.now >= tx.give_up:
+            return False
+        if host.standing is not m.Standing.READY or not self._may_repeat(tx, host):
+            return False
+        if tx.out and not self.start.parallel:
+            return False
+        if not host.is_origin:
+            if not self._cold_room(host):
+                return False
+            if self._warmth(host) < 1.0:
+                host.cold_sent.append(self.now)
+            self.inflight += 1
+            self.sent_count += 1
+            if self.start.parallel:
+                self._wake(self.now + self._patience(tx), tx.id)
+        tx.hops.append(Hop(host, self.now))
+        tx.out += 1
+        host.inflight += 1
+        self.actions.append(m.SendHop(tx.id, host.index, not_past))
+        return True
+
+    def _finish(self, tx: Tx) -> None:
+        """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
+        if tx.ended:
+            return
+        may_have_run = tx.ran_at or tx.out
+        harmless = not may_have_run or tx.kind is m.Kind.IDEMPOTENT
+        if tx.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL:
+            harmless = True
+        if harmless:
+            self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
+        else:
+            self.actions.append(m.Abandon(tx.id))
+        self._close(tx)
+
+    def _close(self, tx: Tx) -> None:
+        tx.ended = True
+        if tx.out and self.start.cancel:
+            for number, hop in enumerate(tx.hops):
+                if hop.out:
+                    self.actions.append(m.CancelHop(tx.id, number))
+        if not tx.out:
+            self.txs.pop(tx.id, None)
+        if tx.leads:
+            self._fetched(tx)
--- /dev/null
+++ b/ternquay/model.py
@@ -0,0 +1,198 @@
+"""What can happen to a balancer and what it can ask for, in the project's words.
+
+Times are whole nanoseconds on the clock that the caller hands in. A tx, a cache host, a profile, a tenant, a
+zone and a kind are small indices given out at the door by whoever calls the decisions.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+
+class Kind(Enum):
+    """How often a transaction of a profile may run."""
+
+    IDEMPOTENT = 1
+    JOURNALLED = 2
+    NON_IDEMPOTENT = 3
+
+
+class Scope(Enum):
+    """Which cache hosts drop the repeats of a journalled transaction."""
+
+    ALL = 1
+    ZONE = 2
+    CELL = 3
+
+
+class End(IntEnum):
+    """How a hop ended. The ones up to MISS prove that it never ran."""
+
+    FULL = 1
+    UNREACHABLE = 2
+    SKIPPED = 3
+    MISS = 4
+    DONE = 5
+    ERROR = 6
+    TIMED_OUT = 7
+    RESET = 8
+    CANCELLED = 9
+
+
+class Standing(Enum):
+    """What the list says of a cache host."""
+
+    READY = 1
+    DRAINING = 2
+    GONE = 3
+
+
+@dataclass(slots=True, frozen=True)
+class Profile:
+    kind: Kind
+    scope: Scope
+    memory: int  # how long a repeat of a journalled transaction is known
+    service_goal: int
+    hard_limit: int
+    revenue: float
+    overdue_revenue: float
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    """The instance starts, with what it is told of its deployment."""
+
+    seed: int
+    balancers: int
+    profiles: tuple[Profile, ...]
+    quotas: tuple[float, ...]  # transactions a second within the share, by tenant
+    aside: bool
+    origin_kind: int
+    watch_list: bool
+    cancel: bool
+    parallel: bool
+    most_hops: int
+    hints_weigh: bool
+    max_backoff: int  # 0 where clients are given none
+    quantum: int
+    cold_share: float
+    warm_within: int
+    tip_multiple: float
+    tip_window: int
+    may_probe: bool
+    may_tell: bool
+    reports: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """One line of the list of cache hosts."""
+
+    host: int
+    address: str
+    zone: int
+    kind: int
+    cell: int
+    standing: Standing
+    hint: float
+    since: int  # its latest start, 0 for long ago
+
+
+@dataclass(slots=True, frozen=True)
+class ListChanged:
+    whole: bool
+    lines: tuple[Listed, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class ListLost:
+    """The list could not be had, or following it was interrupted."""
+
+
+@dataclass(slots=True, frozen=True)
+class TxArrived:
+    tx: int
+    profile: int
+    tenant: int  # -1: none
+    key: str | None
+    ttl: int
+    again: bool
+    write: bool
+
+
+@dataclass(slots=True, frozen=True)
+class HopEnded:
+    tx: int
+    hop: int
+    end: End
+    took: int
+    closed: bool
+    note: int  # 1 a hit, 2 a miss, 3 a miss while another fetches, 0 not told
+
+
+@dataclass(slots=True, frozen=True)
+class TxGone:
+    tx: int
+
+
+@dataclass(slots=True, frozen=True)
+class TimerFired:
+    """The instance's one timer is due."""
+
+
+@dataclass(slots=True, frozen=True)
+class Probed:
+    host: int
+    end: End
+    took: int
+    report: tuple[float, ...] | None
+
+
+@dataclass(slots=True, frozen=True)
+class PeerSaid:
+    peer: int
+    text: str
+
+
+Event = ListChanged | ListLost | TxArrived | HopEnded | TxGone | TimerFired | Probed | PeerSaid
+
+
+@dataclass(slots=True, frozen=True)
+class SendHop:
+    tx: int
+    host: int
+    not_past: int
+
+
+@dataclass(slots=True, frozen=True)
+class CancelHop:
+    tx: int
+    hop: int
+
+
+@dataclass(slots=True, frozen=True)
+class RollBack:
+    tx: int
+    backoff: int
+
+
+@dataclass(slots=True, frozen=True)
+class Abandon:
+    tx: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    at: int
+
+
+@dataclass(slots=True, frozen=True)
+class WatchList:
+    pass
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    text: str
+
+
+Action = SendHop | CancelHop | RollBack | Abandon | SetTimer | WatchList | Note
--- /dev/null
+++ b/ternquay/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the bench's wire and the decisions; it decides nothing."""
--- /dev/null
+++ b/ternquay/wirehost/serve.py
@@ -0,0 +1,220 @@
+"""Reads batches, hands each event to its instance, writes the actions back."""
+
+import gc
+from traceback import format_exc
+from typing import Any, BinaryIO
+
+import orjson
+
+from ternquay import model as m
+from ternquay.balance import Balancer
+
+US = 1000
+ENDS = {
+    "done": m.End.DONE, "err": m.End.ERROR, "busy": m.End.FULL, "etimedout": m.End.TIMED_OUT,
+    "econnrefused": m.End.UNREACHABLE, "econnreset": m.End.RESET, "ecanceled": m.End.CANCELLED,
+    "skipped": m.End.SKIPPED, "enoent": m.End.MISS,
+}
+STANDINGS = {"IN": m.Standing.READY, "LAME": m.Standing.DRAINING, "OUT": m.Standing.GONE}
+KINDS = {"repeatable": m.Kind.IDEMPOTENT, "by_key": m.Kind.JOURNALLED, "once": m.Kind.NON_IDEMPOTENT}
+SCOPES = {"all": m.Scope.ALL, "zone": m.Scope.ZONE, "cell": m.Scope.CELL}
+REPORTS = {"concurrent", "depth", "load_share", "mean_ms", "tps", "err_ps", "x0", "x1"}
+
+
+class WireError(Exception):
+    """What came in is not the wire's."""
+
+
+def read_start(seed: int, facts: dict[str, Any]) -> m.Started:
+    limits, rules, family = facts["Limits"], facts["Invariants"], facts.get("FamilyInfo", {})
+    profiles = tuple(
+        m.Profile(
+            kind=KINDS[p["Semantics"]], scope=SCOPES[p.get("DedupScope", "cell")],
+            memory=p.get("Window", 0) * US, service_goal=p["ServiceGoal"] * US, hard_limit=p["HardLimit"] * US,
+            revenue=p.get("Revenue", 1.0), overdue_revenue=p.get("OverdueRevenue", 0.0),
+        )
+        for p in facts["Profiles"]
+    )
+    return m.Started(
+        seed=seed, balancers=facts["Balancers"], profiles=profiles,
+        quotas=tuple(t["QuotaPerS"] for t in facts.get("Tenants") or []),
+        aside=family.get("Mode") == "aside", origin_kind=family.get("OriginKind", -1),
+        watch_list=facts.get("Discovery") == "on_request", cancel=limits.get("Cancel", False),
+        parallel=limits.get("ParallelTries", False), most_hops=limits.get("MostHops", 1),
+        hints_weigh=facts.get("Weights") in ("nominal", "rough"),
+        max_backoff=limits.get("MaxRetryAfter", 0) * US if limits.get("RetryAfter") else 0,
+        quantum=facts.get("Quantum", 0) * US, cold_share=rules["ColdShare"],
+        warm_within=rules["WarmWithin"] * US, tip_multiple=rules["TipMultiple"],
+        tip_window=rules["Fall"] * US,
+        may_probe=limits.get("Probing", False), may_tell=limits.get("MayTell", False),
+        reports=tuple(facts.get("LoadReport", {}).get("Names") or ()),
+    )
+
+
+class Instance:
+    """One balancer and the two tables that give its ids small indices."""
+
+    def __init__(self, seed: int, facts: dict[str, Any]) -> None:
+        self.balancer = Balancer(read_start(seed, facts))
+        self.hosts: dict[str, int] = {}
+        self.addresses: list[str] = []
+        self.txs: dict[str, int] = {}
+        self.words: dict[int, str] = {}
+        self.next_tx = 0
+        self.profiles = {p["Name"]: i for i, p in enumerate(facts["Profiles"])}
+        self.tenants = {t["Name"]: i for i, t in enumerate(facts.get("Tenants") or [])}
+        self.zones = {z: i for i, z in enumerate(facts.get("Zones") or [])}
+        self.kinds = {k: i for i, k in enumerate(facts.get("Kinds") or [])}
+
+    def host(self, address: str) -> int:
+        index = self.hosts.get(address)
+        if index is None:
+            index = self.hosts[address] = len(self.addresses)
+            self.addresses.append(address)
+        return index
+
+    def lines(self, records: list[dict[str, Any]] | None) -> tuple[m.Listed, ...]:
+        return tuple(
+            m.Listed(
+                host=self.host(r["Host"]), address=r["Host"], zone=self.zones.get(r.get("Locality"), -1),
+                kind=self.kinds.get(r.get("ClassOfHost"), -1), cell=r.get("Block") or 0,
+                standing=STANDINGS[r["Availability"]], hint=float(r.get("CapacityHint") or 1.0),
+                since=(r.get("OnlineSince") or 0) * US,
+            )
+            for r in records or ()
+        )
+
+    def arrival(self, e: dict[str, Any]) -> m.Event:
+        tx = self.next_tx
+        self.next_tx += 1
+        word = e["Corr"]
+        self.txs[word] = tx
+        self.words[tx] = word
+        return m.TxArrived(tx, self.profiles[e["Type"]], self.tenants.get(e.get("Realm") or "", -1),
+                           e.get("Subject"), e["Ttl"] * US, bool(e.get("IsRetry")), bool(e.get("Mutates")))
+
+    def reply(self, e: dict[str, Any]) -> m.Event | None:
+        tx = self.txs.get(e["Corr"])
+        if tx is None:
+            return None
+        return m.HopEnded(tx, e["Trial"], ENDS[e["StateCode"]], e["Took"] * US, e["Ended"],
+                          e.get("Detail") or 0)
+
+    def event(self, e: dict[str, Any]) -> m.Event | None:
+        name = e["msg"]
+        if name == "Arrival":
+            return self.arrival(e)
+        if name == "Reply":
+            return self.reply(e)
+        if name == "Fired":
+            return m.TimerFired()
+        if name == "Gone":
+            tx = self.txs.get(e["Corr"])
+            return None if tx is None else m.TxGone(tx)
+        if name == "Membership":
+            if e["Mode"] == "Error":
+                return m.ListLost()
+            return m.ListChanged(e["Mode"] != "Partial", self.lines(e.get("Records")))
+        if name == "StatusBack":
+            return m.Probed(self.host(e["Host"]), ENDS[e["StateCode"]], e["Took"] * US,
+                            self.report(e.get("Stats")))
+        if name == "Inbox":
+            return m.PeerSaid(e["From"], e["Content"])
+        if name == "Flowing":
+            return None
+        raise WireError(f"unknown message {name!r}")
+
+    @staticmethod
+    def report(stats: Any) -> tuple[float, ...] | None:
+        if not isinstance(stats, list) or not all(isinstance(v, int | float) for v in stats):
+            return None
+        return tuple(float(v) for v in stats)
+
+    def action(self, who: int, a: m.Action) -> dict[str, Any]:
+        if isinstance(a, m.SendHop):
+            return {"msg": "Deliver", "Who": who, "Corr": self.words[a.tx], "Host": self.addresses[a.host],
+                    "NotPast": a.not_past // US}
+        if isinstance(a, m.SetTimer):
+            return {"msg": "Defer", "Who": who, "Nonce": "t", "When": -(-a.at // US)}
+        if isinstance(a, m.RollBack):
+            return {"msg": "Busy", "Who": who, "Corr": self.words[a.tx], "Backoff": a.backoff // US}
+        if isinstance(a, m.Abandon):
+            return {"msg": "Fail", "Who": who, "Corr": self.words[a.tx]}
+        if isinstance(a, m.CancelHop):
+            return {"msg": "AbortAttempt", "Who": who, "Corr": self.words[a.tx], "Trial": a.hop}
+        if isinstance(a, m.WatchList):
+            return {"msg": "Subscribe", "Who": who, "Want": True}
+        return {"msg": "Trace", "Who": who, "BodyText": a.text}
+
+
+def read(line: bytes) -> dict[str, Any]:
+    try:
+        value = orjson.loads(line)
+    except orjson.JSONDecodeError as fault:
+        raise WireError(f"not JSON: {line[:80]!r}") from fault
+    if not isinstance(value, dict) or "msg" not in value:
+        raise WireError(f"not a message: {line[:80]!r}")
+    return value
+
+
+class Host:
+    """All the instances of this process. They share nothing."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Instance] = {}
+
+    def one(self, now: int, e: dict[str, Any], out: list[bytes]) -> None:
+        who = e["Who"]
+        name = e["msg"]
+        if name == "Init":
+            self.instances[who] = Instance(e["Nonce64"], e["Facts"])
+            return
+        if name == "Killed":
+            self.instances.pop(who, None)
+            return
+        instance = self.instances[who]
+        happened = instance.event(e)
+        if happened is None:
+            return
+        try:
+            actions = instance.balancer.decide(now, happened)
+        except Exception:
+            out.append(orjson.dumps({"msg": "GiveIn", "Who": who, "BodyText": format_exc()[-2000:]}))
+            return
+        for a in actions:
+            out.append(orjson.dumps(instance.action(who, a)))
+
+    def batch(self, now: int, events: list[dict[str, Any]]) -> bytes:
+        out: list[bytes] = []
+        for e in events:
+            try:
+                self.one(now, e, out)
+            except (KeyError, TypeError, AttributeError) as fault:
+                raise WireError(f"malformed {e.get('msg')}: {fault!r}") from fault
+        out.append(b'{"msg":"Eor"}\n')
+        return b"\n".join(out)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    gc.freeze()
+    gc.disable()  # no cycles are kept; a collection within a batch would be booked as CPU
+    host = Host()
+    now: int | None = None
+    events: list[dict[str, Any]] = []
+    for line in source:
+        e = read(line)
+        name = e["msg"]
+        if name == "Round":
+            if now is not None or not isinstance(e.get("Wall"), int):
+                raise WireError("a round within a round, or without its clock")
+            now = e["Wall"] * US
+        elif now is None:
+            raise WireError(f"{name} outside a round")
+        elif name == "EofBatch":
+            sink.write(host.batch(now, events))
+            sink.flush()
+            now, events = None, []
+        else:
+            events.append(e)
+    if now is not None:
+        raise WireError("the input ended within a round")
