--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -248,7 +248,7 @@
         self.tick_at = self.now
         whole = sum(h.weight for h in self.ready)
         warm = sum(h.weight for h in self.ready if self._warmth(h) >= 1.0)
-        # What a mostly cold fleet is sent must not pass for what warm cache hosts can do: the figure is frozen.
+        # What a mostly cold fleet is sent must not pass for what warm cache hosts can do.
         if passed > 0 and warm > 0 and warm >= WARM_PART * whole:
             rate = self.sent_count * SECOND / passed / warm
             self.unit_rate += (rate - self.unit_rate) * (0.1 if self.unit_rate else 1.0)
@@ -326,7 +326,7 @@
         self.loads[new.group] += count
 
     def _gain(self, affinity: int, load: int) -> float:
-        return BETA * affinity - (1 - BETA) * GAMMA * load ** (GAMMA - 1)
+        return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
     def _place(self, rng: Range) -> None:
         self.loads[rng.group] -= rng.count
