--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -35,7 +35,7 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_OVER, FADE = 0.9, 0.4, SECOND
-ORIGIN_START, ORIGIN_LATE = 24.0, 0.5
+ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 24.0, 0.5, 4.0
 COLD_MARGIN, WARM_PART = 1.0, 0.8
 BACKOFF = 100 * MS
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -155,6 +155,7 @@
         self.origin_queue: deque[Tx] = deque()
         self.origin_limit, self.origin_took, self.origin_cut = ORIGIN_START, 0.0, 0
         self.sent_count, self.unit_rate, self.tick_at = 0, 0.0, 0
+        self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
         self.margin = started.quantum + 2 * MS
 
     def decide(self, now: int, event: m.Event) -> list[m.Action]:
@@ -489,11 +490,12 @@
                 self.fetching[tx.key].append(tx)
                 return
         host = self._choose(tx)
-        if host is None or not self._send(tx, host, self._not_past(tx)):
+        if host is None or not self._send(tx, host, self._not_past(tx, host)):
             self._finish(tx)
 
-    def _not_past(self, tx: Tx) -> int:
-        if self.start.parallel or tx.kind is m.Kind.NON_IDEMPOTENT:
+    def _not_past(self, tx: Tx, host: CacheHost) -> int:
+        # Cutting hops short costs work twice, so without second copies only a suspect is given less time.
+        if self.start.parallel or tx.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
             return tx.give_up
         return min(tx.give_up, self.now + self._patience(tx))
 
@@ -501,7 +503,9 @@
         for hop in tx.hops:
             if hop.out and not hop.judged and not hop.host.is_origin:
                 hop.judged = True
-                self._failed_once(hop.host)
+                # A hop that we sent into a crowd is late by our doing; only one that had room tells of its host.
+                if hop.crowd <= OVER_FLOOR:
+                    self._failed_once(hop.host)
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or tx.hops[-1].host.is_origin:
             return
         if tx.kind is m.Kind.NON_IDEMPOTENT:
@@ -585,20 +589,19 @@
         for other in waiting:
             host = tx.missed
             fresh = host is not None and self._usable(host)
-            if fresh and host is not None and self._send(other, host, self._not_past(other)):
+            if fresh and host is not None and self._send(other, host, self._not_past(other, host)):
                 continue
             self._route(other)
 
-    def _judge_origin(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
+    def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
         if e.end is m.End.SKIPPED or e.end is m.End.CANCELLED:
             return
-        late = e.end is not m.End.DONE or e.took > ORIGIN_LATE * tx.profile.service_goal
-        if e.end is m.End.DONE:
-            self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
-        if not late:
+        # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
+        self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
+        if e.end is not m.End.FULL and self.origin_took < ORIGIN_LATE * self.shortest_goal:
             self.origin_limit += 1 / self.origin_limit
         elif hop.sent >= self.origin_cut:
-            self.origin_limit = max(2.0, self.origin_limit * 0.7)
+            self.origin_limit = max(ORIGIN_LEAST, self.origin_limit * 0.8)
             self.origin_cut = self.now
 
     # ---- health ----
@@ -606,7 +609,7 @@
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
         if host.is_origin:
-            self._judge_origin(tx, hop, e)
+            self._judge_origin(hop, e)
         elif e.end is m.End.DONE:
             self._well(tx, hop, e.took)
         elif e.end is m.End.MISS:
