--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import heappop, heappush
 from math import log
@@ -35,7 +36,9 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_OVER, FADE = 0.9, 0.4, SECOND
-ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 24.0, 0.5, 4.0
+ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 24.0, 0.5, 1.0
+THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
+HELD_MOST = 20_000
 COLD_MARGIN, WARM_PART = 1.0, 0.8
 BACKOFF = 100 * MS
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -52,90 +55,88 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+@dataclass(slots=True, eq=False)
 class Range:
     """A slice of the hashed keys, or one hot key."""
 
-    __slots__ = ("group", "count", "spill")
-
-    def __init__(self, group: int) -> None:
-        self.group = group
-        self.count = 0
-        self.spill = -1
+    group: int
+    count: int = 0
+    spill: int = -1  # the group of its latest spill
 
 
+@dataclass(slots=True, eq=False)
 class CacheHost:
-    """What this balancer holds of one cache host, or of the origin."""
-
-    __slots__ = ("index", "hash", "weight", "zone", "cell", "since", "standing", "is_origin", "inflight",
-                 "fails", "out_until", "out_for", "trial", "full_until", "took", "crowd", "seen", "cold_sent")
-
-    def __init__(self, line: m.Listed, is_origin: bool) -> None:
-        self.index = line.host
-        self.hash = text_hash(line.address)
-        self.is_origin = is_origin
-        self.inflight = 0
-        self.zone, self.cell, self.standing = line.zone, line.cell, line.standing
-        self.weight = 1.0
-        self.restart(line)
-
-    def restart(self, line: m.Listed) -> None:
-        self.since = line.since
-        self.fails = self.out_until = self.full_until = self.seen = 0
-        self.out_for = OUT_FIRST
-        self.trial = False
-        self.took = self.crowd = 0.0
-        self.cold_sent: deque[int] = deque()
-
-
+    """What this balancer holds of one cache host, or of the origin, since its latest start."""
+
+    index: int
+    hash: int
+    is_origin: bool
+    since: int
+    standing: m.Standing
+    zone: int = -1
+    cell: int = 0
+    weight: float = 1.0
+    inflight: int = 0
+    fails: int = 0  # in a row
+    out_until: int = 0
+    out_for: int = OUT_FIRST
+    trial: bool = False
+    full_until: int = 0
+    took: float = 0.0
+    crowd: float = 0.0  # hops in flight when those that gave `took` were sent
+    seen: int = 0
+    cold_sent: deque[int] = field(default_factory=deque)
+
+
+@dataclass(slots=True, eq=False)
 class Hop:
-    __slots__ = ("host", "sent", "out", "judged", "crowd")
-
-    def __init__(self, host: CacheHost, sent: int) -> None:
-        self.host = host
-        self.sent = sent
-        self.out = True
-        self.judged = False
-        self.crowd = host.inflight
+    host: CacheHost
+    sent: int
+    crowd: int
+    fetches: bool = False  # it is expected to need the origin
+    out: bool = True
+    judged: bool = False
 
 
+@dataclass(slots=True, eq=False)
 class Tx:
-    __slots__ = ("id", "profile", "kind", "key", "range", "write", "over", "goal", "give_up", "hops", "out",
-                 "ended", "ran_at", "ran_on", "leads", "missed")
-
-    def __init__(self, index: int, profile: m.Profile, write: bool) -> None:
-        self.id = index
-        self.profile = profile
-        self.kind = profile.kind
-        self.write = write
-        self.key = 0
-        self.range: Range | None = None
-        self.over = False
-        self.hops: list[Hop] = []
-        self.out = 0
-        self.ended = False
-        self.ran_at = 0  # when the first hop was sent that may have run; 0: none may have
-        self.ran_on: CacheHost | None = None
-        self.leads = False  # its hop at the origin is the one that others with its key wait for
-        self.missed: CacheHost | None = None
-        self.goal = self.give_up = 0
+    id: int
+    profile: m.Profile
+    kind: m.Kind
+    write: bool
+    key: int = 0
+    range: Range | None = None
+    over: bool = False  # beyond its tenant's share
+    goal: int = 0
+    give_up: int = 0
+    hops: list[Hop] = field(default_factory=list)
+    out: int = 0
+    ended: bool = False
+    ran_at: int = 0  # when the first hop was sent that may have run; 0: none may have
+    ran_on: CacheHost | None = None
+    leads: bool = False  # others with its key wait for its hop to the origin
+    missed: CacheHost | None = None
 
 
 class Balancer:
     def __init__(self, started: m.Started) -> None:
         self.start = started
         self.random = Random(started.seed)
-        self.actions: list[m.Action] = []
         self.now = 0
+        self.actions: list[m.Action] = []
+        self.margin = started.quantum + 2 * MS
+        self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
+        # Cache hosts, and for each group the order in which they stand for it.
         self.hosts: dict[int, CacheHost] = {}
         self.ready: list[CacheHost] = []
         self.origin: CacheHost | None = None
         self.orders: dict[int, list[tuple[CacheHost, float]]] = {}
-        self.inflight = 0
+        self.ask_wait, self.asked = ASK_FIRST, False
+        # Transactions, and when to look at them again.
         self.txs: dict[int, Tx] = {}
         self.heap: list[tuple[int, int, int]] = []
-        self.heap_seq = 0
-        self.timer_at = 0
-        self.ask_wait, self.ask_at, self.asked = ASK_FIRST, 0, False
+        self.heap_seq = self.timer_at = self.tick_at = 0
+        # The table of ranges over its window.
         self.ranges: dict[int, Range] = {}
         self.singles: dict[int, Range] = {}
         self.window: deque[int] = deque()
@@ -143,20 +144,21 @@
         self.loads = [0] * GROUPS
         self.changed: dict[int, None] = {}
         self.until_replace = REPLACE_EVERY
-        self.took = [0.0] * len(started.profiles)
-        self.dev = [0.0] * len(started.profiles)
-        self.least_ttl = [0] * len(started.profiles)
+        # What was measured: by profile, by tenant, and of all.
         self.profile_index = {id(p): i for i, p in enumerate(started.profiles)}
-        self.extra = EXTRA_MOST
+        self.took, self.dev = [0.0] * len(started.profiles), [0.0] * len(started.profiles)
+        self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
-        self.share_left = list(self.shares)
-        self.share_at = [0] * len(self.shares)
+        self.share_left, self.share_at = list(self.shares), [0] * len(self.shares)
+        self.inflight = self.sent_count = 0
+        self.unit_rate, self.extra = 0.0, EXTRA_MOST
+        # The origin: who waits for whose fetch, who waits for a place, where keys were last held.
         self.fetching: dict[int, list[Tx]] = {}
         self.origin_queue: deque[Tx] = deque()
-        self.origin_limit, self.origin_took, self.origin_cut = ORIGIN_START, 0.0, 0
-        self.sent_count, self.unit_rate, self.tick_at = 0, 0.0, 0
-        self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
-        self.margin = started.quantum + 2 * MS
+        self.fetch_out = self.origin_cut = 0
+        self.origin_limit, self.origin_took = ORIGIN_START, 0.0
+        self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
+        self.held: dict[int, CacheHost] = {}
 
     def decide(self, now: int, event: m.Event) -> list[m.Action]:
         self.now = now
@@ -204,9 +206,11 @@
         host = self.hosts.get(line.host)
         if host is None:
             is_origin = self.start.aside and line.kind == self.start.origin_kind
-            host = self.hosts[line.host] = CacheHost(line, is_origin)
+            host = CacheHost(line.host, text_hash(line.address), is_origin, line.since, line.standing)
+            self.hosts[line.host] = host
         elif line.since != host.since and line.standing is m.Standing.READY:
-            host.restart(line)
+            host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
+            host.out_until, host.out_for, host.trial, host.full_until = 0, OUT_FIRST, False, 0
         host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
         host.weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
 
@@ -241,8 +245,12 @@
                 self.actions.append(m.WatchList())
             else:
                 tx = self.txs.get(what)
-                if tx is not None and not tx.ended:
-                    self._tx_due(tx)
+                if tx is None or tx.ended:
+                    continue
+                if self.now >= tx.give_up:
+                    self._finish(tx)
+                elif tx.out:
+                    self._hop_late(tx)
 
     def _tick(self) -> None:
         passed = self.now - self.tick_at
@@ -256,21 +264,13 @@
         self.sent_count = 0
         self._wake(self.now + TICK, -1)
 
-    def _tx_due(self, tx: Tx) -> None:
-        if self.now >= tx.give_up:
-            self._finish(tx)
-        elif tx.out:
-            self._hop_late(tx)
-
     # ---- the table of ranges ----
 
     def _range_of(self, key: int) -> Range:
-        found = self.singles.get(key)
+        number = key * RANGES >> 64
+        found = self.singles.get(key) or self.ranges.get(number)
         if found is None:
-            number = key * RANGES >> 64
-            found = self.ranges.get(number)
-            if found is None:
-                found = self.ranges[number] = Range(mix(number + 1) % GROUPS)
+            found = self.ranges[number] = Range(mix(number + 1) % GROUPS)
         return found
 
     def _count(self, key: int) -> Range:
@@ -300,10 +300,7 @@
 
     def _replace(self) -> None:
         self._split_hot()
-        seen: dict[int, Range] = {}
-        for key in self.changed:
-            rng = self._range_of(key)
-            seen[id(rng)] = rng
+        seen = {id(rng): rng for rng in map(self._range_of, self.changed)}
         self.changed = {}
         for rng in seen.values():
             self._place(rng)
@@ -444,7 +441,7 @@
 
     def _arrived(self, e: m.TxArrived) -> None:
         profile = self.start.profiles[e.profile]
-        tx = self.txs[e.tx] = Tx(e.tx, profile, e.write)
+        tx = self.txs[e.tx] = Tx(e.tx, profile, profile.kind, e.write)
         spent = self._spent(e, profile)
         end = self.now + e.ttl - self.margin
         tx.goal = self.now + profile.service_goal - spent - self.margin
@@ -467,9 +464,9 @@
 
     def _spent(self, e: m.TxArrived, profile: m.Profile) -> int:
         # A try shorter than the profile's usual one is cut by the hard limit: it tells how long it waits.
-        usual = self.least_ttl[e.profile]
+        usual = self.usual_ttl[e.profile]
         if not e.again:
-            self.least_ttl[e.profile] = max(usual, e.ttl)
+            self.usual_ttl[e.profile] = max(usual, e.ttl)
             return 0
         return profile.hard_limit - e.ttl if e.ttl < usual - MS else 0
 
@@ -490,9 +487,17 @@
                 self.fetching[tx.key].append(tx)
                 return
         host = self._choose(tx)
-        if host is None or not self._send(tx, host, self._not_past(tx, host)):
+        if host is not None and self._expects_fetch(tx, host):
+            tx.missed = host
+            self._fetch(tx)
+        elif host is None or not self._send(tx, host, self._not_past(tx, host)):
             self._finish(tx)
 
+    def _expects_fetch(self, tx: Tx, host: CacheHost) -> bool:
+        # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first.
+        known = self.start.aside or tx.write or tx.range is None
+        return not known and self.held.get(tx.key) is not host
+
     def _not_past(self, tx: Tx, host: CacheHost) -> int:
         # Cutting hops short costs work twice, so without second copies only a suspect is given less time.
         if self.start.parallel or tx.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
@@ -503,11 +508,13 @@
         for hop in tx.hops:
             if hop.out and not hop.judged and not hop.host.is_origin:
                 hop.judged = True
-                # A hop that we sent into a crowd is late by our doing; only one that had room tells of its host.
-                if hop.crowd <= OVER_FLOOR:
+                # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
+                if hop.crowd <= OVER_FLOOR and not hop.fetches:
                     self._failed_once(hop.host)
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or tx.hops[-1].host.is_origin:
             return
+        if tx.hops[-1].fetches and self.fetch_out >= self.origin_limit:
+            return
         if tx.kind is m.Kind.NON_IDEMPOTENT:
             return
         host = self._choose(tx)
@@ -533,7 +540,10 @@
             self._go_on(tx, hop, e.end)
         elif not tx.out:
             self.txs.pop(tx.id, None)
-        if hop.host.is_origin:
+        if hop.fetches:
+            self.fetch_out -= 1
+            if tx.leads and tx.ended:
+                self._fetched(tx)
             self._drain_origin()
 
     def _go_on(self, tx: Tx, hop: Hop, end: m.End) -> None:
@@ -562,12 +572,8 @@
         self._ask_origin(tx)
 
     def _ask_origin(self, tx: Tx) -> None:
-        origin = self.origin
-        if origin is None:
-            self._finish(tx)
-        elif origin.inflight < self.origin_limit and not self.origin_queue:
-            if not self._send(tx, origin, tx.give_up):
-                self._finish(tx)
+        if self.fetch_out < self.origin_limit and not self.origin_queue:
+            self._send_fetch(tx)
         else:
             wait = (len(self.origin_queue) / self.origin_limit + 1) * self.origin_took
             if self.now + wait > tx.goal or (tx.over and not tx.write):
@@ -577,28 +583,38 @@
             else:
                 self.origin_queue.append(tx)
 
+    def _send_fetch(self, tx: Tx) -> None:
+        host = self.origin if self.start.aside else tx.missed
+        # What can't come in time is not fetched, but for one at a time, to find out if the origin is back.
+        late = self.now + self.origin_took > tx.goal and self.fetch_out > 0
+        if host is None or late or not self._send(tx, host, tx.give_up if self.start.aside else 0):
+            self._finish(tx)
+        else:
+            tx.hops[-1].fetches = True
+            self.fetch_out += 1
+
     def _drain_origin(self) -> None:
-        while self.origin_queue and self.origin is not None and self.origin.inflight < self.origin_limit:
+        while self.origin_queue and self.fetch_out < self.origin_limit:
             tx = self.origin_queue.popleft()
-            if not tx.ended and not self._send(tx, self.origin, tx.give_up):
-                self._finish(tx)
+            if not tx.ended:
+                self._send_fetch(tx)
 
     def _fetched(self, tx: Tx) -> None:
         """The fetch of tx's key is over, one way or another: those that waited for it go on."""
+        tx.leads = False
         waiting = [w for w in self.fetching.pop(tx.key, []) if not w.ended]
         for other in waiting:
             host = tx.missed
-            fresh = host is not None and self._usable(host)
-            if fresh and host is not None and self._send(other, host, self._not_past(other, host)):
-                continue
-            self._route(other)
+            if host is None or not self._usable(host) or not self._send(other, host, self._not_past(other, host)):
+                self._route(other)
 
     def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
-        if e.end is m.End.SKIPPED or e.end is m.End.CANCELLED:
+        if e.end is m.End.SKIPPED or (e.end is m.End.CANCELLED and e.took < self.shortest_goal // 2):
             return
         # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
         self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
-        if e.end is not m.End.FULL and self.origin_took < ORIGIN_LATE * self.shortest_goal:
+        well = e.end in (m.End.DONE, m.End.TIMED_OUT, m.End.CANCELLED)
+        if well and self.origin_took < self.origin_late:
             self.origin_limit += 1 / self.origin_limit
         elif hop.sent >= self.origin_cut:
             self.origin_limit = max(ORIGIN_LEAST, self.origin_limit * 0.8)
@@ -608,6 +624,10 @@
 
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
+        if not self.start.aside:
+            if hop.fetches or e.note > 1 or e.end is m.End.ERROR:
+                self._judge_origin(hop, e)
+            self._remember(tx, host, e.end)
         if host.is_origin:
             self._judge_origin(hop, e)
         elif e.end is m.End.DONE:
@@ -617,18 +637,26 @@
             host.trial = False
         elif e.end is m.End.FULL:
             host.full_until = self.now + FULL_REST
-        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged:
+        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged and not hop.fetches:
             self._failed_once(host)
 
+    def _remember(self, tx: Tx, host: CacheHost, end: m.End) -> None:
+        if tx.write or end is m.End.ERROR:
+            self.held.pop(tx.key, None)
+        elif end is m.End.DONE:
+            self.held[tx.key] = host
+            if len(self.held) > HELD_MOST:
+                del self.held[next(iter(self.held))]
+
     def _well(self, tx: Tx, hop: Hop, took: int) -> None:
         host = hop.host
         if not hop.judged:
             host.fails = 0
             host.trial = False
             host.out_for = OUT_FIRST
-        step = 0.2 if host.seen and self.now - host.seen < FADE else 0.5
-        host.took += (took - host.took) * (step if host.seen else 1.0)
-        host.crowd += (hop.crowd - host.crowd) * (step if host.seen else 1.0)
+        step = 1.0 if not host.seen else 0.2 if self.now - host.seen < FADE else 0.5
+        host.took += (took - host.took) * step
+        host.crowd += (hop.crowd - host.crowd) * step
         host.seen = self.now
         i = self.profile_index[id(tx.profile)]
         if not self.took[i]:
@@ -691,7 +719,7 @@
             self.sent_count += 1
             if self.start.parallel:
                 self._wake(self.now + self._patience(tx), tx.id)
-        tx.hops.append(Hop(host, self.now))
+        tx.hops.append(Hop(host, self.now, host.inflight))
         tx.out += 1
         host.inflight += 1
         self.actions.append(m.SendHop(tx.id, host.index, not_past))
@@ -701,11 +729,8 @@
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        may_have_run = tx.ran_at or tx.out
-        harmless = not may_have_run or tx.kind is m.Kind.IDEMPOTENT
-        if tx.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL:
-            harmless = True
-        if harmless:
+        known = tx.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
+        if known or tx.kind is m.Kind.IDEMPOTENT or not (tx.ran_at or tx.out):
             self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
         else:
             self.actions.append(m.Abandon(tx.id))
@@ -715,9 +740,10 @@
         tx.ended = True
         if tx.out and self.start.cancel:
             for number, hop in enumerate(tx.hops):
-                if hop.out:
+                # A cache host's own fetch is left to end: cut off, it leaves no copy for those who come back.
+                if hop.out and (self.start.aside or not hop.fetches):
                     self.actions.append(m.CancelHop(tx.id, number))
         if not tx.out:
             self.txs.pop(tx.id, None)
-        if tx.leads:
+        if tx.leads and not any(hop.out and hop.fetches for hop in tx.hops):
             self._fetched(tx)
