--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -95,6 +95,7 @@
     crowd: int
     fetches: bool = False  # it is expected to need the origin
     out: bool = True
+    may_have_run: bool = True
     judged: bool = False
 
 
@@ -112,8 +113,6 @@
     hops: list[Hop] = field(default_factory=list)
     out: int = 0
     ended: bool = False
-    ran_at: int = 0  # when the first hop was sent that may have run; 0: none may have
-    ran_on: CacheHost | None = None
     leads: bool = False  # others with its key wait for its hop to the origin
     missed: CacheHost | None = None
 
@@ -357,9 +356,7 @@
         return start.cold_share + (1 - start.cold_share) * max(0, age) / start.warm_within
 
     def _usable(self, host: CacheHost) -> bool:
-        if host.out_until > self.now:
-            return False
-        return not (host.trial and host.inflight)
+        return host.out_until <= self.now and not (host.trial and host.inflight)
 
     def _servers(self, group: int, most: int, skip: list[Hop]) -> list[CacheHost]:
         found: list[CacheHost] = []
@@ -388,25 +385,21 @@
             pool = [h for h in self.ready if self._usable(h) and not any(hop.host is h for hop in tx.hops)]
             pair = [self.random.choice(pool), self.random.choice(pool)] if pool else []
             return min(pair, key=lambda h: h.inflight) if pair else None
-        places = self._servers(rng.group, self._copies(rng), tx.hops)
-        for host in sorted(places, key=lambda h: h.inflight / h.weight):
-            if not self._crowded(host) and self._in_time(tx, host) and self._cold_room(host):
-                return host
-        spilled = self._spill(tx, rng)
-        if spilled is not None:
-            return spilled
-        for host in places:
-            if self._in_time(tx, host) and self._cold_room(host):
+        near = self._servers(rng.group, self._copies(rng), tx.hops)
+        near.sort(key=lambda h: h.inflight / h.weight)
+        for host in near:
+            if not self._crowded(host) and self._fits(tx, host):
                 return host
-        return None
-
-    def _spill(self, tx: Tx, rng: Range) -> CacheHost | None:
         for group in self._next_groups(rng):
             for host in self._servers(group, 1, tx.hops):
-                if not self._crowded(host) and self._in_time(tx, host) and self._cold_room(host):
+                if not self._crowded(host) and self._fits(tx, host):
                     rng.spill = group
                     return host
-        return None
+        return next((h for h in near if self._fits(tx, h)), None)
+
+    def _fits(self, tx: Tx, host: CacheHost) -> bool:
+        part = IN_TIME_OVER if tx.over else IN_TIME
+        return self._predicted(host) <= part * (tx.goal - self.now) and self._cold_room(host)
 
     def _next_groups(self, rng: Range) -> list[int]:
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
@@ -426,10 +419,6 @@
         age = self.now - host.seen
         return guess if age < FADE else guess * FADE / age
 
-    def _in_time(self, tx: Tx, host: CacheHost) -> bool:
-        part = IN_TIME_OVER if tx.over else IN_TIME
-        return self._predicted(host) <= part * (tx.goal - self.now)
-
     def _patience(self, tx: Tx) -> int:
         i = self.profile_index[id(tx.profile)]
         most = int(PATIENCE_PART * tx.profile.service_goal)
@@ -515,8 +504,6 @@
             return
         if tx.hops[-1].fetches and self.fetch_out >= self.origin_limit:
             return
-        if tx.kind is m.Kind.NON_IDEMPOTENT:
-            return
         host = self._choose(tx)
         if host is not None and self._send(tx, host, tx.give_up):
             self.extra -= 1
@@ -527,6 +514,7 @@
             return
         hop = tx.hops[e.hop]
         hop.out = False
+        hop.may_have_run = e.end > m.End.MISS
         tx.out -= 1
         hop.host.inflight -= 1
         if not hop.host.is_origin:
@@ -535,8 +523,6 @@
         if e.closed and not tx.ended:
             self._close(tx)
         elif not tx.ended:
-            if e.end > m.End.MISS and not tx.ran_at:
-                tx.ran_at, tx.ran_on = hop.sent, hop.host
             self._go_on(tx, hop, e.end)
         elif not tx.out:
             self.txs.pop(tx.id, None)
@@ -564,11 +550,13 @@
 
     def _fetch(self, tx: Tx) -> None:
         waiting = self.fetching.get(tx.key)
-        if waiting is not None and tx.range is not None:
+        if waiting is not None and tx.range is not None and not tx.leads:
             waiting.append(tx)
             return
-        self.fetching[tx.key] = []
-        tx.leads = True
+        # The one that the others wait for keeps the lead over its further hops; it must not wait for itself.
+        if not tx.leads:
+            self.fetching[tx.key] = []
+            tx.leads = True
         self._ask_origin(tx)
 
     def _ask_origin(self, tx: Tx) -> None:
@@ -603,9 +591,9 @@
         """The fetch of tx's key is over, one way or another: those that waited for it go on."""
         tx.leads = False
         waiting = [w for w in self.fetching.pop(tx.key, []) if not w.ended]
+        host = tx.missed if self.start.aside else None
         for other in waiting:
-            host = tx.missed
-            if host is None or not self._usable(host) or not self._send(other, host, self._not_past(other, host)):
+            if host is None or not self._send(other, host, self._not_past(other, host)):
                 self._route(other)
 
     def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
@@ -690,17 +678,15 @@
         return len(sent) < max(1.0, COLD_MARGIN * self.unit_rate * warmth * host.weight * span / SECOND)
 
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
-        first = next((hop for hop in tx.hops if hop.out), None)
-        ran_at = tx.ran_at or (first.sent if first else 0)
-        ran_on = tx.ran_on or (first.host if first else None)
-        if not ran_at or ran_on is None or tx.kind is m.Kind.IDEMPOTENT:
+        first = next((hop for hop in tx.hops if hop.may_have_run), None)
+        if first is None or tx.kind is m.Kind.IDEMPOTENT:
             return True
-        if tx.kind is m.Kind.NON_IDEMPOTENT or self.now - ran_at >= tx.profile.memory - self.margin:
+        if tx.kind is m.Kind.NON_IDEMPOTENT or self.now - first.sent >= tx.profile.memory - self.margin:
             return False
         scope = tx.profile.scope
         if scope is m.Scope.ZONE:
-            return host.zone == ran_on.zone
-        return scope is m.Scope.ALL or host.cell == ran_on.cell
+            return host.zone == first.host.zone
+        return scope is m.Scope.ALL or host.cell == first.host.cell
 
     def _send(self, tx: Tx, host: CacheHost, not_past: int) -> bool:
         """Every hop passes here: rule 1 (nothing after the answer), 2, 3 and 4."""
@@ -730,7 +716,7 @@
         if tx.ended:
             return
         known = tx.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
-        if known or tx.kind is m.Kind.IDEMPOTENT or not (tx.ran_at or tx.out):
+        if known or tx.kind is m.Kind.IDEMPOTENT or not any(hop.may_have_run for hop in tx.hops):
             self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
         else:
             self.actions.append(m.Abandon(tx.id))
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -78,9 +78,6 @@
     warm_within: int
     tip_multiple: float
     tip_window: int
-    may_probe: bool
-    may_tell: bool
-    reports: tuple[str, ...]
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,21 +136,7 @@
     """The instance's one timer is due."""
 
 
-@dataclass(slots=True, frozen=True)
-class Probed:
-    host: int
-    end: End
-    took: int
-    report: tuple[float, ...] | None
-
-
-@dataclass(slots=True, frozen=True)
-class PeerSaid:
-    peer: int
-    text: str
-
-
-Event = ListChanged | ListLost | TxArrived | HopEnded | TxGone | TimerFired | Probed | PeerSaid
+Event = ListChanged | ListLost | TxArrived | HopEnded | TxGone | TimerFired
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -18,7 +18,6 @@
 STANDINGS = {"IN": m.Standing.READY, "LAME": m.Standing.DRAINING, "OUT": m.Standing.GONE}
 KINDS = {"repeatable": m.Kind.IDEMPOTENT, "by_key": m.Kind.JOURNALLED, "once": m.Kind.NON_IDEMPOTENT}
 SCOPES = {"all": m.Scope.ALL, "zone": m.Scope.ZONE, "cell": m.Scope.CELL}
-REPORTS = {"concurrent", "depth", "load_share", "mean_ms", "tps", "err_ps", "x0", "x1"}
 
 
 class WireError(Exception):
@@ -47,8 +46,6 @@
         quantum=facts.get("Quantum", 0) * US, cold_share=rules["ColdShare"],
         warm_within=rules["WarmWithin"] * US, tip_multiple=rules["TipMultiple"],
         tip_window=rules["Fall"] * US,
-        may_probe=limits.get("Probing", False), may_tell=limits.get("MayTell", False),
-        reports=tuple(facts.get("LoadReport", {}).get("Names") or ()),
     )
 
 
@@ -116,21 +113,10 @@
             if e["Mode"] == "Error":
                 return m.ListLost()
             return m.ListChanged(e["Mode"] != "Partial", self.lines(e.get("Records")))
-        if name == "StatusBack":
-            return m.Probed(self.host(e["Host"]), ENDS[e["StateCode"]], e["Took"] * US,
-                            self.report(e.get("Stats")))
-        if name == "Inbox":
-            return m.PeerSaid(e["From"], e["Content"])
-        if name == "Flowing":
-            return None
+        if name in ("StatusBack", "Inbox", "Flowing"):
+            return None  # nothing asks for probes, peers or streams yet
         raise WireError(f"unknown message {name!r}")
 
-    @staticmethod
-    def report(stats: Any) -> tuple[float, ...] | None:
-        if not isinstance(stats, list) or not all(isinstance(v, int | float) for v in stats):
-            return None
-        return tuple(float(v) for v in stats)
-
     def action(self, who: int, a: m.Action) -> dict[str, Any]:
         if isinstance(a, m.SendHop):
             return {"msg": "Deliver", "Who": who, "Corr": self.words[a.tx], "Host": self.addresses[a.host],
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,215 @@
+"""The ordinary path, and one trace for each failure found."""
+
+from ternquay import model as m
+from ternquay.balance import RANGES, text_hash
+
+from .helper import Play, line
+
+
+def settle(p: Play, keys: int = 40, rounds: int = 10) -> None:
+    for n in range(keys * rounds):
+        p.end(p.arrive(f"k{n % keys}"), m.End.DONE)
+        p.run(5)
+    p.trace.clear()
+
+
+def test_a_key_keeps_its_host_and_one_host_less_moves_only_its_own() -> None:
+    p = Play(5)
+    settle(p)
+    before = {f"k{n}": p.hops[p.tx - 39 + n][0] for n in range(40)}
+    p.list(line(2, m.Standing.GONE))
+    settle(p, rounds=1)
+    after = {f"k{n}": p.hops[p.tx - 39 + n][0] for n in range(40)}
+    moved = [k for k in before if before[k] != after[k]]
+    assert moved and all(before[k] == 2 for k in moved)
+
+
+def test_two_balancers_agree_whatever_their_seeds() -> None:
+    one, two = Play(6, seed=1), Play(6, seed=2)
+    for p in (one, two):
+        settle(p, rounds=1)
+    assert one.hops == two.hops
+
+
+def test_the_gain_score_moves_a_range_only_past_its_affinity() -> None:
+    p = Play()
+    b = p.balancer
+    small, large = b._range_of(1), b._range_of(1 << 63)
+    small.group, small.count, large.group, large.count = 0, 1, 1, 300
+    b.loads[:] = [1000] * len(b.loads)
+    b.loads[7] = 10
+    b._place(small)
+    b._place(large)
+    assert (small.group, large.group) == (7, 1)
+
+
+def test_hot_keys_become_ranges_of_their_own_and_fold_back() -> None:
+    p = Play()
+    for n in range(600):
+        p.end(p.arrive("hot" if n % 2 else f"k{n}"), m.End.DONE)
+    hot = text_hash("hot")
+    assert list(p.balancer.singles) == [hot]
+    for n in range(5000):
+        p.end(p.arrive(f"k{n}"), m.End.DONE)
+    assert hot not in p.balancer.singles and sum(p.balancer.loads) == len(p.balancer.window)
+    assert all(0 <= number < RANGES for number in p.balancer.ranges)
+
+
+def test_a_crowded_host_spills_and_the_spill_stays_where_it_went() -> None:
+    p = Play(3)
+    settle(p)
+    for _ in range(8):
+        p.arrive("k1")
+    p.matches("spill")
+
+
+def test_failures_in_a_row_take_a_host_out_and_trial_traffic_brings_it_back() -> None:
+    p = Play(4)
+    settle(p)
+    for _ in range(3):
+        p.end(p.arrive("k1"), m.End.RESET)
+    p.arrive("k1")
+    p.run(1100)
+    p.end(p.arrive("k1"), m.End.DONE)
+    p.end(p.arrive("k1"), m.End.DONE)
+    p.matches("out_and_back")
+
+
+def test_a_fleet_wide_failure_takes_nobody_out() -> None:
+    p = Play(4)
+    settle(p)
+    for n in range(40):
+        p.end(p.arrive(f"k{n}"), m.End.RESET)
+    out = sum(h.out_until > p.now for h in p.balancer.ready)
+    assert out <= 1
+
+
+def test_a_late_hop_gets_a_second_copy_elsewhere() -> None:
+    p = Play()
+    settle(p)
+    tx = p.arrive("k3")
+    p.run(400)
+    p.end(tx, m.End.DONE, hop=1, took=10)
+    p.end(tx, m.End.CANCELLED)
+    p.matches("second_copy")
+
+
+def test_not_in_time_is_rolled_back_at_once() -> None:
+    p = Play(1)
+    settle(p)
+    p.end(p.arrive("k1"), m.End.DONE, took=5000)
+    p.arrive("k1")
+    p.run(3000)
+    p.arrive("k1")
+    p.matches("not_in_time")
+
+
+def test_a_try_whose_goal_has_passed_is_not_sent() -> None:
+    p = Play()
+    p.end(p.arrive(), m.End.DONE)
+    p.arrive(ttl=700, again=True)
+    p.matches("goal_passed")
+
+
+def test_beyond_its_share_a_tenant_needs_more_room() -> None:
+    p = Play(1)
+    settle(p)
+    p.end(p.arrive("k1"), m.End.DONE, took=1000)
+    for _ in range(4):
+        p.arrive("k1", tenant=0)
+    p.arrive("k1", tenant=1)
+    p.matches("share")
+
+
+def test_aside_one_fetch_a_key_and_those_who_waited_go_where_it_was_stored() -> None:
+    p = Play(3, origin=True)
+    first, second = p.arrive(), p.arrive()
+    p.end(first, m.End.MISS)
+    third = p.arrive()
+    p.end(second, m.End.MISS)
+    p.end(first, m.End.DONE, hop=1)
+    p.end(second, m.End.DONE, hop=1)
+    p.end(third, m.End.DONE)
+    p.matches("aside_one_fetch")
+
+
+def test_aside_a_fetch_given_up_passes_to_the_next() -> None:
+    p = Play(3, origin=True)
+    first, second = p.arrive(), p.arrive()
+    p.end(first, m.End.MISS)
+    p.end(second, m.End.MISS)
+    p.feed(f"client of {first} leaves", m.TxGone(first))
+    p.run(700)
+    p.matches("aside_leader_gone")
+
+
+def test_aside_writes_go_to_the_origin_and_not_without_it() -> None:
+    p = Play(3, origin=True)
+    p.end(p.arrive(profile=1), m.End.DONE)
+    p.list(line(9, m.Standing.GONE, kind=1))
+    p.arrive(profile=1)
+    p.matches("aside_writes")
+
+
+def test_through_a_fetch_runs_on_after_its_client_is_answered() -> None:
+    """Against a copy that never lands, since each fetch is cut off at its client's goal."""
+    p = Play(3)
+    first = p.arrive()
+    p.run(580)
+    second = p.arrive()
+    p.run(100)
+    p.end(first, m.End.DONE, took=680, note=2)
+    p.end(second, m.End.DONE)
+    p.matches("through_runs_on")
+
+
+def test_one_heavy_answer_does_not_close_the_origin() -> None:
+    p = Play(3, origin=True)
+    for n in range(30):
+        p.end(p.arrive(f"w{n}", profile=1), m.End.DONE, took=2000 if n == 20 else 50)
+    assert p.balancer.origin_limit > 24
+
+
+def test_an_origin_late_in_the_mean_is_asked_less() -> None:
+    p = Play(3, origin=True)
+    for n in range(30):
+        p.end(p.arrive(f"w{n}", profile=1), m.End.DONE, took=900)
+        p.run(50)
+    assert p.balancer.origin_limit < 8
+
+
+def test_nowhere_to_go_is_answered_at_once() -> None:
+    p = Play(0)
+    for profile in range(4):
+        p.arrive(profile=profile)
+    p.arrive(key=None)
+    p.list(whole=True)
+    p.arrive()
+    p.matches("nowhere")
+
+
+def test_a_silent_or_lost_list_is_asked_for_again_and_again_later() -> None:
+    p = Play(2, watch_list=True)
+    for _ in range(4):
+        p.feed("list lost", m.ListLost())
+        p.run(9000)
+    p.arrive()
+    p.matches("list_lost")
+
+
+def test_no_key_goes_to_the_less_busy_of_two() -> None:
+    p = Play(3)
+    for _ in range(6):
+        p.arrive(key=None)
+    p.matches("no_key")
+
+
+def test_events_of_ended_or_unknown_transactions_are_passed_over() -> None:
+    p = Play()
+    tx = p.arrive()
+    p.end(tx, m.End.DONE)
+    p.end(tx, m.End.DONE)
+    p.end(99, m.End.ERROR)
+    p.feed("gone 99", m.TxGone(99))
+    p.run(1000)
+    p.matches("passed_over")
