--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -31,14 +31,14 @@
 # Health and further hops.
 FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 3, SECOND, 8 * SECOND, 0.4
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
-PATIENCE_DEV, PATIENCE_PART = 4.0, 0.45
+PATIENCE_DEV, PATIENCE_PART = 4.0, 0.6
 FULL_REST = 100 * MS
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_OVER, FADE = 0.9, 0.4, SECOND
-ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 24.0, 0.5, 1.0
+ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
-HELD_MOST = 20_000
+REST_FIRST, REST_MOST = 100 * MS, 2 * SECOND
 COLD_MARGIN, WARM_PART = 1.0, 0.8
 BACKOFF = 100 * MS
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -103,7 +103,6 @@
 class Tx:
     id: int
     profile: m.Profile
-    kind: m.Kind
     write: bool
     key: int = 0
     range: Range | None = None
@@ -142,7 +141,7 @@
         self.key_counts: dict[int, int] = {}
         self.loads = [0] * GROUPS
         self.changed: dict[int, None] = {}
-        self.until_replace = REPLACE_EVERY
+        self.counted = 0
         # What was measured: by profile, by tenant, and of all.
         self.profile_index = {id(p): i for i, p in enumerate(started.profiles)}
         self.took, self.dev = [0.0] * len(started.profiles), [0.0] * len(started.profiles)
@@ -154,10 +153,11 @@
         # The origin: who waits for whose fetch, who waits for a place, where keys were last held.
         self.fetching: dict[int, list[Tx]] = {}
         self.origin_queue: deque[Tx] = deque()
-        self.fetch_out = self.origin_cut = 0
+        self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START, 0.0
         self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
-        self.held: dict[int, CacheHost] = {}
+        self.fetch_hops: deque[Hop] = deque()
+        self.held: dict[int, int] = {}
 
     def decide(self, now: int, event: m.Event) -> list[m.Action]:
         self.now = now
@@ -171,7 +171,7 @@
         elif isinstance(event, m.TxGone):
             tx = self.txs.get(event.tx)
             if tx is not None and not tx.ended:
-                self._close(tx)
+                self._close(tx, self.start.aside)
         elif isinstance(event, m.ListChanged):
             self._list_changed(event)
         elif isinstance(event, m.ListLost):
@@ -281,9 +281,8 @@
         self.window.append(key)
         if len(self.window) > WINDOW:
             self._forget(self.window.popleft())
-        self.until_replace -= 1
-        if self.until_replace <= 0:
-            self.until_replace = REPLACE_EVERY
+        self.counted += 1
+        if self.counted % REPLACE_EVERY == 0:
             self._replace()
         return rng
 
@@ -291,16 +290,16 @@
         rng = self._range_of(key)
         rng.count -= 1
         self.loads[rng.group] -= 1
-        left = self.key_counts[key] - 1
-        if left:
-            self.key_counts[key] = left
-        else:
+        self.key_counts[key] -= 1
+        if not self.key_counts[key]:
             del self.key_counts[key]
 
     def _replace(self) -> None:
         self._split_hot()
         seen = {id(rng): rng for rng in map(self._range_of, self.changed)}
         self.changed = {}
+        # Copies that nothing has asked for over the window are not counted on, and not kept in mind.
+        self.held = {k: n for k, n in self.held.items() if n > self.counted - WINDOW}
         for rng in seen.values():
             self._place(rng)
 
@@ -312,8 +311,8 @@
             self._shift(key, self.singles.pop(key), self._range_of(key))
         for key in [k for _, k in ranked if k in hot and k not in self.singles]:
             parent = self._range_of(key)
-            single = self.singles[key] = Range(parent.group)
-            self._shift(key, parent, single)
+            self.singles[key] = Range(parent.group)
+            self._shift(key, parent, self.singles[key])
 
     def _shift(self, key: int, old: Range, new: Range) -> None:
         count = self.key_counts.get(key, 0)
@@ -337,16 +336,14 @@
     # ---- from group to cache host ----
 
     def _order(self, group: int) -> list[tuple[CacheHost, float]]:
-        order = self.orders.get(group)
-        if order is None:
+        if group not in self.orders:
             ranked = []
             for host in self.ready:
                 drawn = mix(host.hash ^ mix(group + 1))
                 ranked.append((-host.weight / log((drawn + 1) / (MASK + 2)), host.index, host))
             ranked.sort(key=lambda r: (r[0], r[1]), reverse=True)
-            order = [(h, mix(h.hash + mix(group + 7)) / MASK) for _, _, h in ranked]
-            self.orders[group] = order
-        return order
+            self.orders[group] = [(h, mix(h.hash + mix(group + 7)) / MASK) for _, _, h in ranked]
+        return self.orders[group]
 
     def _warmth(self, host: CacheHost) -> float:
         start = self.start
@@ -375,17 +372,15 @@
         mean = self.inflight / max(1, len(self.ready))
         return host.full_until > self.now or host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR
 
-    def _copies(self, rng: Range) -> int:
-        share = rng.count / max(1, len(self.window))
-        return 1 + int(share * len(self.ready) * SPREAD)
-
     def _choose(self, tx: Tx) -> CacheHost | None:
         rng = tx.range
         if rng is None:
             pool = [h for h in self.ready if self._usable(h) and not any(hop.host is h for hop in tx.hops)]
             pair = [self.random.choice(pool), self.random.choice(pool)] if pool else []
             return min(pair, key=lambda h: h.inflight) if pair else None
-        near = self._servers(rng.group, self._copies(rng), tx.hops)
+        # Against a hot key that always spills to one and the same place: while hot it has several of its own.
+        share = rng.count / max(1, len(self.window))
+        near = self._servers(rng.group, 1 + int(share * len(self.ready) * SPREAD), tx.hops)
         near.sort(key=lambda h: h.inflight / h.weight)
         for host in near:
             if not self._crowded(host) and self._fits(tx, host):
@@ -398,42 +393,32 @@
         return next((h for h in near if self._fits(tx, h)), None)
 
     def _fits(self, tx: Tx, host: CacheHost) -> bool:
+        """Whether the answer is predicted in time, and the host may be sent it."""
+        # Against an estimate that keeps everything away and so never mends: it fades with its age.
+        faded = host.took * FADE / max(FADE, self.now - host.seen)
         part = IN_TIME_OVER if tx.over else IN_TIME
-        return self._predicted(host) <= part * (tx.goal - self.now) and self._cold_room(host)
+        in_time = faded * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
+        return in_time and self._cold_room(host)
 
     def _next_groups(self, rng: Range) -> list[int]:
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
         best = [] if rng.spill < 0 else [rng.spill]
         loads = self.loads
-        picked = [self.random.randrange(GROUPS) for _ in range(PLACES * 4)]
-        picked.sort(key=lambda g: loads[g])
+        picked = sorted((self.random.randrange(GROUPS) for _ in range(PLACES * 4)), key=lambda g: loads[g])
         return best + [g for g in picked if g != rng.group][:PLACES]
 
-    # ---- predictions ----
-
-    def _predicted(self, host: CacheHost) -> float:
-        if not host.seen:
-            return 0.0
-        guess = host.took * (1 + host.inflight) / (1 + host.crowd)
-        # Against an estimate that keeps everything away and so never mends: it fades with its age.
-        age = self.now - host.seen
-        return guess if age < FADE else guess * FADE / age
-
     def _patience(self, tx: Tx) -> int:
         i = self.profile_index[id(tx.profile)]
-        most = int(PATIENCE_PART * tx.profile.service_goal)
-        if not self.took[i]:
-            return most
-        return min(most, int(self.took[i] + PATIENCE_DEV * self.dev[i]) + self.start.quantum)
+        most, usual = int(PATIENCE_PART * tx.profile.service_goal), self.took[i] + PATIENCE_DEV * self.dev[i]
+        return min(most, int(usual) + self.start.quantum) if usual else most
 
     # ---- a transaction ----
 
     def _arrived(self, e: m.TxArrived) -> None:
         profile = self.start.profiles[e.profile]
-        tx = self.txs[e.tx] = Tx(e.tx, profile, profile.kind, e.write)
-        spent = self._spent(e, profile)
+        tx = self.txs[e.tx] = Tx(e.tx, profile, e.write)
         end = self.now + e.ttl - self.margin
-        tx.goal = self.now + profile.service_goal - spent - self.margin
+        tx.goal = self.now + profile.service_goal - self._spent(e, profile) - self.margin
         if profile.overdue_revenue > 0:
             tx.goal = max(tx.goal, min(end, self.now + profile.service_goal // 2))
             tx.give_up = end
@@ -470,26 +455,26 @@
     def _route(self, tx: Tx) -> None:
         if self.start.aside:
             if tx.write:
-                self._ask_origin(tx)
-                return
+                return self._ask_origin(tx)
             if tx.range is not None and tx.key in self.fetching:
-                self.fetching[tx.key].append(tx)
-                return
+                return self.fetching[tx.key].append(tx)
         host = self._choose(tx)
         if host is not None and self._expects_fetch(tx, host):
             tx.missed = host
             self._fetch(tx)
-        elif host is None or not self._send(tx, host, self._not_past(tx, host)):
+            return
+        resting = tx.write and self.now < self.rest_until
+        if host is None or resting or not self._send(tx, host, self._not_past(tx, host)):
             self._finish(tx)
 
     def _expects_fetch(self, tx: Tx, host: CacheHost) -> bool:
         # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first.
         known = self.start.aside or tx.write or tx.range is None
-        return not known and self.held.get(tx.key) is not host
+        return not known and tx.key ^ host.hash not in self.held
 
     def _not_past(self, tx: Tx, host: CacheHost) -> int:
         # Cutting hops short costs work twice, so without second copies only a suspect is given less time.
-        if self.start.parallel or tx.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
+        if self.start.parallel or tx.profile.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
             return tx.give_up
         return min(tx.give_up, self.now + self._patience(tx))
 
@@ -500,9 +485,10 @@
                 # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
                 if hop.crowd <= OVER_FLOOR and not hop.fetches:
                     self._failed_once(hop.host)
-        if not self.start.parallel or tx.out > 1 or self.extra < 1 or tx.hops[-1].host.is_origin:
+        last = tx.hops[-1]
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.is_origin:
             return
-        if tx.hops[-1].fetches and self.fetch_out >= self.origin_limit:
+        if last.fetches and not self._origin_room():
             return
         host = self._choose(tx)
         if host is not None and self._send(tx, host, tx.give_up):
@@ -521,7 +507,7 @@
             self.inflight -= 1
         self._judge(tx, hop, e)
         if e.closed and not tx.ended:
-            self._close(tx)
+            self._close(tx, True)
         elif not tx.ended:
             self._go_on(tx, hop, e.end)
         elif not tx.out:
@@ -549,9 +535,8 @@
     # ---- the origin ----
 
     def _fetch(self, tx: Tx) -> None:
-        waiting = self.fetching.get(tx.key)
-        if waiting is not None and tx.range is not None and not tx.leads:
-            waiting.append(tx)
+        if tx.key in self.fetching and tx.range is not None and not tx.leads:
+            self.fetching[tx.key].append(tx)
             return
         # The one that the others wait for keeps the lead over its further hops; it must not wait for itself.
         if not tx.leads:
@@ -560,7 +545,9 @@
         self._ask_origin(tx)
 
     def _ask_origin(self, tx: Tx) -> None:
-        if self.fetch_out < self.origin_limit and not self.origin_queue:
+        if self.now < self.rest_until:
+            self._finish(tx)
+        elif self._origin_room() and not self.origin_queue:
             self._send_fetch(tx)
         else:
             wait = (len(self.origin_queue) / self.origin_limit + 1) * self.origin_took
@@ -577,12 +564,17 @@
         late = self.now + self.origin_took > tx.goal and self.fetch_out > 0
         if host is None or late or not self._send(tx, host, tx.give_up if self.start.aside else 0):
             self._finish(tx)
-        else:
-            tx.hops[-1].fetches = True
-            self.fetch_out += 1
+
+    def _origin_room(self) -> bool:
+        # A slow origin shows in fetches that stay out long before one of them ends.
+        while self.fetch_hops and not self.fetch_hops[0].out:
+            self.fetch_hops.popleft()
+        since = self.now - self.origin_late
+        overdue = sum(1 for hop in self.fetch_hops if hop.out and hop.sent < since)
+        return self.fetch_out < max(ORIGIN_LEAST, self.origin_limit - 2 * overdue)
 
     def _drain_origin(self) -> None:
-        while self.origin_queue and self.fetch_out < self.origin_limit:
+        while self.origin_queue and self._origin_room():
             tx = self.origin_queue.popleft()
             if not tx.ended:
                 self._send_fetch(tx)
@@ -602,8 +594,16 @@
         # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
         self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
         well = e.end in (m.End.DONE, m.End.TIMED_OUT, m.End.CANCELLED)
+        self.fetch_fails = 0 if e.end is m.End.DONE else self.fetch_fails + 1
+        if not self.fetch_fails:
+            self.rest = 0
+        elif self.fetch_fails >= FAILS:
+            # An origin that turns fetches away answers fast, so a limit on those in flight does not spare it.
+            self.rest = min(REST_MOST, max(REST_FIRST, self.rest * 2))
+            self.rest_until = self.now + self.rest
         if well and self.origin_took < self.origin_late:
-            self.origin_limit += 1 / self.origin_limit
+            if self.fetch_out > self.origin_limit / 2:
+                self.origin_limit += 1 / self.origin_limit
         elif hop.sent >= self.origin_cut:
             self.origin_limit = max(ORIGIN_LEAST, self.origin_limit * 0.8)
             self.origin_cut = self.now
@@ -612,13 +612,14 @@
 
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
-        if not self.start.aside:
-            if hop.fetches or e.note > 1 or e.end is m.End.ERROR:
-                self._judge_origin(hop, e)
+        through = not self.start.aside
+        if hop.fetches or (through and (e.note > 1 or e.end is m.End.ERROR)):
+            self._judge_origin(hop, e)
+        if through:
             self._remember(tx, host, e.end)
         if host.is_origin:
-            self._judge_origin(hop, e)
-        elif e.end is m.End.DONE:
+            return
+        if e.end is m.End.DONE:
             self._well(tx, hop, e.took)
         elif e.end is m.End.MISS:
             host.fails = 0
@@ -629,12 +630,13 @@
             self._failed_once(host)
 
     def _remember(self, tx: Tx, host: CacheHost, end: m.End) -> None:
-        if tx.write or end is m.End.ERROR:
-            self.held.pop(tx.key, None)
+        if tx.write:
+            for other in self.ready:
+                self.held.pop(tx.key ^ other.hash, None)
+        elif end in (m.End.ERROR, m.End.TIMED_OUT):
+            self.held.pop(tx.key ^ host.hash, None)
         elif end is m.End.DONE:
-            self.held[tx.key] = host
-            if len(self.held) > HELD_MOST:
-                del self.held[next(iter(self.held))]
+            self.held[tx.key ^ host.hash] = self.counted
 
     def _well(self, tx: Tx, hop: Hop, took: int) -> None:
         host = hop.host
@@ -679,11 +681,11 @@
 
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
         first = next((hop for hop in tx.hops if hop.may_have_run), None)
-        if first is None or tx.kind is m.Kind.IDEMPOTENT:
+        if first is None or tx.profile.kind is m.Kind.IDEMPOTENT:
             return True
-        if tx.kind is m.Kind.NON_IDEMPOTENT or self.now - first.sent >= tx.profile.memory - self.margin:
+        memory, scope = tx.profile.memory - self.margin, tx.profile.scope
+        if tx.profile.kind is m.Kind.NON_IDEMPOTENT or self.now - first.sent >= memory:
             return False
-        scope = tx.profile.scope
         if scope is m.Scope.ZONE:
             return host.zone == first.host.zone
         return scope is m.Scope.ALL or host.cell == first.host.cell
@@ -692,9 +694,9 @@
         """Every hop passes here: rule 1 (nothing after the answer), 2, 3 and 4."""
         if tx.ended or len(tx.hops) >= self.start.most_hops or self.now >= tx.give_up:
             return False
-        if host.standing is not m.Standing.READY or not self._may_repeat(tx, host):
+        if host.standing is not m.Standing.READY or (tx.out and not self.start.parallel):
             return False
-        if tx.out and not self.start.parallel:
+        if not self._may_repeat(tx, host):
             return False
         if not host.is_origin:
             if not self._cold_room(host):
@@ -705,7 +707,12 @@
             self.sent_count += 1
             if self.start.parallel:
                 self._wake(self.now + self._patience(tx), tx.id)
-        tx.hops.append(Hop(host, self.now, host.inflight))
+        hop = Hop(host, self.now, host.inflight)
+        tx.hops.append(hop)
+        if host.is_origin or (tx.write and not self.start.aside) or self._expects_fetch(tx, host):
+            hop.fetches = True
+            self.fetch_out += 1
+            self.fetch_hops.append(hop)
         tx.out += 1
         host.inflight += 1
         self.actions.append(m.SendHop(tx.id, host.index, not_past))
@@ -715,19 +722,19 @@
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        known = tx.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
-        if known or tx.kind is m.Kind.IDEMPOTENT or not any(hop.may_have_run for hop in tx.hops):
+        known = tx.profile.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
+        if known or tx.profile.kind is m.Kind.IDEMPOTENT or not any(hop.may_have_run for hop in tx.hops):
             self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
         else:
             self.actions.append(m.Abandon(tx.id))
-        self._close(tx)
+        self._close(tx, self.start.aside)
 
-    def _close(self, tx: Tx) -> None:
+    def _close(self, tx: Tx, cut: bool) -> None:
         tx.ended = True
         if tx.out and self.start.cancel:
             for number, hop in enumerate(tx.hops):
                 # A cache host's own fetch is left to end: cut off, it leaves no copy for those who come back.
-                if hop.out and (self.start.aside or not hop.fetches):
+                if hop.out and (cut or tx.write or not hop.fetches):
                     self.actions.append(m.CancelHop(tx.id, number))
         if not tx.out:
             self.txs.pop(tx.id, None)
