--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -35,7 +35,7 @@
 FULL_REST = 100 * MS
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_OVER, FADE = 0.9, 0.4, SECOND
+IN_TIME, IN_TIME_OVER, FADE = 0.6, 0.3, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 REST_FIRST, REST_MOST = 100 * MS, 2 * SECOND
