No waiting for overdue fetches; a plain patience of 0.6 of the goal

Cause: what waited for a fetch that was itself overdue sat until its goal and was then turned away. The measuring is gone.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -31,11 +31,11 @@
 # Health and further hops.
 FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 3, SECOND, 8 * SECOND, 0.4
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
-PATIENCE_DEV, PATIENCE_PART = 4.0, 0.6
+PATIENCE = 0.6
 FULL_REST = 100 * MS
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_OVER, FADE = 0.6, 0.3, SECOND
+IN_TIME, IN_TIME_OVER, FADE = 0.5, 0.2, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 REST_FIRST, REST_MOST = 100 * MS, 2 * SECOND
@@ -143,8 +143,6 @@
         self.changed: dict[int, None] = {}
         self.counted = 0
         # What was measured: by profile, by tenant, and of all.
-        self.profile_index = {id(p): i for i, p in enumerate(started.profiles)}
-        self.took, self.dev = [0.0] * len(started.profiles), [0.0] * len(started.profiles)
         self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
         self.share_left, self.share_at = list(self.shares), [0] * len(self.shares)
@@ -407,11 +405,6 @@
         picked = sorted((self.random.randrange(GROUPS) for _ in range(PLACES * 4)), key=lambda g: loads[g])
         return best + [g for g in picked if g != rng.group][:PLACES]
 
-    def _patience(self, tx: Tx) -> int:
-        i = self.profile_index[id(tx.profile)]
-        most, usual = int(PATIENCE_PART * tx.profile.service_goal), self.took[i] + PATIENCE_DEV * self.dev[i]
-        return min(most, int(usual) + self.start.quantum) if usual else most
-
     # ---- a transaction ----
 
     def _arrived(self, e: m.TxArrived) -> None:
@@ -457,7 +450,7 @@
             if tx.write:
                 return self._ask_origin(tx)
             if tx.range is not None and tx.key in self.fetching:
-                return self.fetching[tx.key].append(tx)
+                return self._join(tx)
         host = self._choose(tx)
         if host is not None and self._expects_fetch(tx, host):
             tx.missed = host
@@ -476,7 +469,7 @@
         # Cutting hops short costs work twice, so without second copies only a suspect is given less time.
         if self.start.parallel or tx.profile.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
             return tx.give_up
-        return min(tx.give_up, self.now + self._patience(tx))
+        return min(tx.give_up, self.now + int(PATIENCE * tx.profile.service_goal))
 
     def _hop_late(self, tx: Tx) -> None:
         for hop in tx.hops:
@@ -536,21 +529,29 @@
 
     def _fetch(self, tx: Tx) -> None:
         if tx.key in self.fetching and tx.range is not None and not tx.leads:
-            self.fetching[tx.key].append(tx)
-            return
+            return self._join(tx)
         # The one that the others wait for keeps the lead over its further hops; it must not wait for itself.
         if not tx.leads:
-            self.fetching[tx.key] = []
+            self.fetching[tx.key] = [tx]
             tx.leads = True
         self._ask_origin(tx)
 
+    def _join(self, tx: Tx) -> None:
+        # Whoever would wait for a fetch that is overdue itself is told at once to come back.
+        hops = self.fetching[tx.key][0].hops
+        since = hops[-1].sent if hops and hops[-1].fetches else self.now
+        if since + max(self.origin_took, self.now - since) > tx.goal or self.now - since > self.origin_late:
+            return self._finish(tx)
+        self.fetching[tx.key].append(tx)
+
     def _ask_origin(self, tx: Tx) -> None:
         if self.now < self.rest_until:
             self._finish(tx)
         elif self._origin_room() and not self.origin_queue:
             self._send_fetch(tx)
         else:
-            wait = (len(self.origin_queue) / self.origin_limit + 1) * self.origin_took
+            oldest = self.now - self.fetch_hops[0].sent if self.fetch_hops else 0
+            wait = (len(self.origin_queue) / self.origin_limit + 1) * max(self.origin_took, oldest)
             if self.now + wait > tx.goal or (tx.over and not tx.write):
                 self._finish(tx)
             elif tx.write:
@@ -582,7 +583,7 @@
     def _fetched(self, tx: Tx) -> None:
         """The fetch of tx's key is over, one way or another: those that waited for it go on."""
         tx.leads = False
-        waiting = [w for w in self.fetching.pop(tx.key, []) if not w.ended]
+        waiting = [w for w in self.fetching.pop(tx.key, [])[1:] if not w.ended]
         host = tx.missed if self.start.aside else None
         for other in waiting:
             if host is None or not self._send(other, host, self._not_past(other, host)):
@@ -613,7 +614,8 @@
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
         through = not self.start.aside
-        if hop.fetches or (through and (e.note > 1 or e.end is m.End.ERROR)):
+        fetched = hop.fetches and e.end is not m.End.UNREACHABLE
+        if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
             self._judge_origin(hop, e)
         if through:
             self._remember(tx, host, e.end)
@@ -648,11 +650,6 @@
         host.took += (took - host.took) * step
         host.crowd += (hop.crowd - host.crowd) * step
         host.seen = self.now
-        i = self.profile_index[id(tx.profile)]
-        if not self.took[i]:
-            self.took[i], self.dev[i] = float(took), took / 2
-        self.dev[i] += (abs(took - self.took[i]) - self.dev[i]) * 0.05
-        self.took[i] += (took - self.took[i]) * 0.05
 
     def _failed_once(self, host: CacheHost) -> None:
         host.fails += 1
@@ -706,7 +703,7 @@
             self.inflight += 1
             self.sent_count += 1
             if self.start.parallel:
-                self._wake(self.now + self._patience(tx), tx.id)
+                self._wake(self.now + int(PATIENCE * tx.profile.service_goal), tx.id)
         hop = Hop(host, self.now, host.inflight)
         tx.hops.append(hop)
         if host.is_origin or (tx.write and not self.start.aside) or self._expects_fetch(tx, host):
