--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -476,7 +476,7 @@
             if hop.out and not hop.judged and not hop.host.is_origin:
                 hop.judged = True
                 # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
-                if hop.crowd <= OVER_FLOOR and not hop.fetches:
+                if hop.crowd <= OVER_FLOOR and not (hop.fetches and self.fetch_fails >= FAILS):
                     self._failed_once(hop.host)
         last = tx.hops[-1]
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.is_origin:
@@ -628,8 +628,10 @@
             host.trial = False
         elif e.end is m.End.FULL:
             host.full_until = self.now + FULL_REST
-        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged and not hop.fetches:
-            self._failed_once(host)
+        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged:
+            # A fetch that fails tells of its host only while fetches through others succeed.
+            if not (hop.fetches and self.fetch_fails >= FAILS):
+                self._failed_once(host)
 
     def _remember(self, tx: Tx, host: CacheHost, end: m.End) -> None:
         if tx.write:
