--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -29,16 +29,15 @@
 PLACES = 4  # groups looked at for a spill
 
 # Health and further hops.
-FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 3, SECOND, 8 * SECOND, 0.4
+FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 2, SECOND, 8 * SECOND, 0.4
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
 PATIENCE = 0.6
-FULL_REST = 100 * MS
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_OVER, FADE = 0.5, 0.2, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
-REST_FIRST, REST_MOST = 100 * MS, 2 * SECOND
+ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN, WARM_PART = 1.0, 0.8
 BACKOFF = 100 * MS
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -81,7 +80,6 @@
     out_until: int = 0
     out_for: int = OUT_FIRST
     trial: bool = False
-    full_until: int = 0
     took: float = 0.0
     crowd: float = 0.0  # hops in flight when those that gave `took` were sent
     seen: int = 0
@@ -207,7 +205,7 @@
             self.hosts[line.host] = host
         elif line.since != host.since and line.standing is m.Standing.READY:
             host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
-            host.out_until, host.out_for, host.trial, host.full_until = 0, OUT_FIRST, False, 0
+            host.out_until, host.out_for, host.trial = 0, OUT_FIRST, False
         host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
         host.weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
 
@@ -368,7 +366,7 @@
 
     def _crowded(self, host: CacheHost) -> bool:
         mean = self.inflight / max(1, len(self.ready))
-        return host.full_until > self.now or host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR
+        return host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR
 
     def _choose(self, tx: Tx) -> CacheHost | None:
         rng = tx.range
@@ -476,8 +474,8 @@
             if hop.out and not hop.judged and not hop.host.is_origin:
                 hop.judged = True
                 # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
-                if hop.crowd <= OVER_FLOOR and not (hop.fetches and self.fetch_fails >= FAILS):
-                    self._failed_once(hop.host)
+                if hop.crowd <= OVER_FLOOR:
+                    self._failed_once(hop)
         last = tx.hops[-1]
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.is_origin:
             return
@@ -598,7 +596,7 @@
         self.fetch_fails = 0 if e.end is m.End.DONE else self.fetch_fails + 1
         if not self.fetch_fails:
             self.rest = 0
-        elif self.fetch_fails >= FAILS:
+        elif self.fetch_fails >= ORIGIN_FAILS:
             # An origin that turns fetches away answers fast, so a limit on those in flight does not spare it.
             self.rest = min(REST_MOST, max(REST_FIRST, self.rest * 2))
             self.rest_until = self.now + self.rest
@@ -626,12 +624,8 @@
         elif e.end is m.End.MISS:
             host.fails = 0
             host.trial = False
-        elif e.end is m.End.FULL:
-            host.full_until = self.now + FULL_REST
-        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED) and not hop.judged:
-            # A fetch that fails tells of its host only while fetches through others succeed.
-            if not (hop.fetches and self.fetch_fails >= FAILS):
-                self._failed_once(host)
+        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED, m.End.FULL) and not hop.judged:
+            self._failed_once(hop)
 
     def _remember(self, tx: Tx, host: CacheHost, end: m.End) -> None:
         if tx.write:
@@ -653,7 +647,11 @@
         host.crowd += (hop.crowd - host.crowd) * step
         host.seen = self.now
 
-    def _failed_once(self, host: CacheHost) -> None:
+    def _failed_once(self, hop: Hop) -> None:
+        # A fetch that fails tells of its host only while fetches through others succeed.
+        if hop.fetches and self.fetch_fails >= ORIGIN_FAILS:
+            return
+        host = hop.host
         host.fails += 1
         if host.fails < (1 if host.trial else FAILS) or host.out_until > self.now:
             return
