--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -379,8 +379,8 @@
         near = self._servers(rng.group, 1 + int(share * len(self.ready) * SPREAD), tx.hops)
         near.sort(key=lambda h: h.inflight / h.weight)
         for host in near:
-            if not self._crowded(host) and self._fits(tx, host):
-                return host
+            if not self._crowded(host):
+                return host if self._fits(tx, host) else None
         for group in self._next_groups(rng):
             for host in self._servers(group, 1, tx.hops):
                 if not self._crowded(host) and self._fits(tx, host):
