--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -34,7 +34,7 @@
 PATIENCE = 0.6
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_OVER, FADE = 0.5, 0.2, SECOND
+IN_TIME, IN_TIME_OVER, FADE = 0.8, 0.4, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
@@ -643,9 +643,10 @@
             host.trial = False
             host.out_for = OUT_FIRST
         step = 1.0 if not host.seen else 0.2 if self.now - host.seen < FADE else 0.5
-        host.took += (took - host.took) * step
-        host.crowd += (hop.crowd - host.crowd) * step
-        host.seen = self.now
+        if not hop.fetches:
+            host.took += (took - host.took) * step
+            host.crowd += (hop.crowd - host.crowd) * step
+            host.seen = self.now
 
     def _failed_once(self, hop: Hop) -> None:
         # A fetch that fails tells of its host only while fetches through others succeed.
