--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -34,7 +34,7 @@
 PATIENCE = 0.6
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_OVER, FADE = 0.6, 0.4, SECOND
+IN_TIME, IN_TIME_OVER, FADE = 0.8, 0.25, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
