--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -38,7 +38,7 @@
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
-COLD_MARGIN, WARM_PART = 1.0, 0.8
+COLD_MARGIN = 1.0
 BACKOFF = 100 * MS
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
 TICK = SECOND // 4
@@ -144,7 +144,7 @@
         self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
         self.share_left, self.share_at = list(self.shares), [0] * len(self.shares)
-        self.inflight = self.sent_count = 0
+        self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
         # The origin: who waits for whose fetch, who waits for a place, where keys were last held.
         self.fetching: dict[int, list[Tx]] = {}
@@ -250,13 +250,13 @@
     def _tick(self) -> None:
         passed = self.now - self.tick_at
         self.tick_at = self.now
-        whole = sum(h.weight for h in self.ready)
         warm = sum(h.weight for h in self.ready if self._warmth(h) >= 1.0)
-        # What a mostly cold fleet is sent must not pass for what warm cache hosts can do.
-        if passed > 0 and warm > 0 and warm >= WARM_PART * whole:
-            rate = self.sent_count * SECOND / passed / warm
+        # What warm cache hosts take is measured on them alone: a mostly cold fleet must neither raise the
+        # figure nor, after a start of ours in its midst, keep it at nothing.
+        if passed > 0 and warm > 0:
+            rate = self.warm_sent * SECOND / passed / warm
             self.unit_rate += (rate - self.unit_rate) * (0.1 if self.unit_rate else 1.0)
-        self.sent_count = 0
+        self.warm_sent = 0
         self._wake(self.now + TICK, -1)
 
     # ---- the table of ranges ----
@@ -701,8 +701,9 @@
                 return False
             if self._warmth(host) < 1.0:
                 host.cold_sent.append(self.now)
+            else:
+                self.warm_sent += 1
             self.inflight += 1
-            self.sent_count += 1
             if self.start.parallel:
                 self._wake(self.now + int(PATIENCE * tx.profile.service_goal), tx.id)
         hop = Hop(host, self.now, host.inflight)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -223,3 +223,11 @@
     for n in range(40):
         p.end(p.arrive(f"k{n}"), m.End.DONE)
     assert not any("roll back" in said for said in p.trace)
+
+
+def test_a_balancer_started_in_a_release_learns_what_warm_hosts_take() -> None:
+    """Against cold hosts that get one hop a window for as long as most of the fleet is cold."""
+    p = Play(4)
+    p.list(*(line(h, since=p.now - 15_000_000_000) for h in (1, 2, 3)))
+    settle(p, rounds=20)
+    assert p.balancer.unit_rate > 10
