--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -167,7 +167,7 @@
         elif isinstance(event, m.TxGone):
             tx = self.txs.get(event.tx)
             if tx is not None and not tx.ended:
-                self._close(tx, self.start.aside)
+                self._close(tx)
         elif isinstance(event, m.ListChanged):
             self._list_changed(event)
         elif isinstance(event, m.ListLost):
@@ -498,15 +498,13 @@
             self.inflight -= 1
         self._judge(tx, hop, e)
         if e.closed and not tx.ended:
-            self._close(tx, True)
+            self._close(tx)
         elif not tx.ended:
             self._go_on(tx, hop, e.end)
         elif not tx.out:
             self.txs.pop(tx.id, None)
         if hop.fetches:
             self.fetch_out -= 1
-            if tx.leads and tx.ended:
-                self._fetched(tx)
             self._drain_origin()
 
     def _go_on(self, tx: Tx, hop: Hop, end: m.End) -> None:
@@ -561,7 +559,7 @@
         host = self.origin if self.start.aside else tx.missed
         # What can't come in time is not fetched, but for one at a time, to find out if the origin is back.
         late = self.now + self.origin_took > tx.goal and self.fetch_out > 0
-        if host is None or late or not self._send(tx, host, tx.give_up if self.start.aside else 0):
+        if host is None or late or not self._send(tx, host, tx.give_up):
             self._finish(tx)
 
     def _origin_room(self) -> bool:
@@ -726,16 +724,15 @@
             self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
         else:
             self.actions.append(m.Abandon(tx.id))
-        self._close(tx, self.start.aside)
+        self._close(tx)
 
-    def _close(self, tx: Tx, cut: bool) -> None:
+    def _close(self, tx: Tx) -> None:
         tx.ended = True
         if tx.out and self.start.cancel:
             for number, hop in enumerate(tx.hops):
-                # A cache host's own fetch is left to end: cut off, it leaves no copy for those who come back.
-                if hop.out and (cut or tx.write or not hop.fetches):
+                if hop.out:
                     self.actions.append(m.CancelHop(tx.id, number))
         if not tx.out:
             self.txs.pop(tx.id, None)
-        if tx.leads and not any(hop.out and hop.fetches for hop in tx.hops):
+        if tx.leads:
             self._fetched(tx)
