--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -21,7 +21,7 @@
 
 # The table of the design page.
 RANGES, GROUPS = 8192, 2048
-BETA, GAMMA = 2 / 3, 1.5
+BETA, GAMMA = 0.9, 1.5
 WINDOW, REPLACE_EVERY = 4096, 512
 HOT_SHARE, HOT_LEAST = 0.05, 8
 SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
@@ -39,7 +39,7 @@
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN = 1.0
-BACKOFF = 100 * MS
+BACKOFF = 0.1
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
 TICK = SECOND // 4
 
@@ -110,7 +110,6 @@
     hops: list[Hop] = field(default_factory=list)
     out: int = 0
     ended: bool = False
-    leads: bool = False  # others with its key wait for its hop to the origin
     missed: CacheHost | None = None
 
 
@@ -146,8 +145,7 @@
         self.share_left, self.share_at = list(self.shares), [0] * len(self.shares)
         self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
-        # The origin: who waits for whose fetch, who waits for a place, where keys were last held.
-        self.fetching: dict[int, list[Tx]] = {}
+        # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
         self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START, 0.0
@@ -375,10 +373,10 @@
             pool = [h for h in self.ready if self._usable(h) and not any(hop.host is h for hop in tx.hops)]
             pair = [self.random.choice(pool), self.random.choice(pool)] if pool else []
             return min(pair, key=lambda h: h.inflight) if pair else None
-        # Against a hot key that always spills to one and the same place: while hot it has several of its own.
+        # Against a hot key that always spills to one and the same place: while hot it first goes down a short
+        # prefix of its own ranking.
         share = rng.count / max(1, len(self.window))
         near = self._servers(rng.group, 1 + int(share * len(self.ready) * SPREAD), tx.hops)
-        near.sort(key=lambda h: h.inflight / h.weight)
         for host in near:
             if not self._crowded(host):
                 return host if self._in_time(tx, host) else None
@@ -444,15 +442,12 @@
         return over
 
     def _route(self, tx: Tx) -> None:
-        if self.start.aside:
-            if tx.write:
-                return self._ask_origin(tx)
-            if tx.range is not None and tx.key in self.fetching:
-                return self._join(tx)
+        if self.start.aside and tx.write:
+            return self._ask_origin(tx)
         host = self._choose(tx)
         if host is not None and self._expects_fetch(tx, host):
             tx.missed = host
-            self._fetch(tx)
+            self._ask_origin(tx)
             return
         resting = tx.write and self.now < self.rest_until
         if host is None or resting or not self._send(tx, host, self._not_past(tx, host)):
@@ -476,8 +471,10 @@
                 # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
                 if hop.crowd <= OVER_FLOOR:
                     self._failed_once(hop)
+        # A late hop alone is mostly a queue or a fetch, which a second copy makes longer; not so where its
+        # host was taken out.
         last = tx.hops[-1]
-        if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.is_origin:
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.out_until <= self.now:
             return
         if last.fetches and not self._origin_room():
             return
@@ -514,7 +511,7 @@
             self._finish(tx)
         elif end is m.End.MISS and not hop.host.is_origin:
             tx.missed = tx.missed or hop.host
-            self._fetch(tx)
+            self._ask_origin(tx)
         elif self.extra < 1 or hop.host.is_origin:
             self._finish(tx)
         else:
@@ -523,23 +520,6 @@
 
     # ---- the origin ----
 
-    def _fetch(self, tx: Tx) -> None:
-        if tx.key in self.fetching and tx.range is not None and not tx.leads:
-            return self._join(tx)
-        # The one that the others wait for keeps the lead over its further hops; it must not wait for itself.
-        if not tx.leads:
-            self.fetching[tx.key] = [tx]
-            tx.leads = True
-        self._ask_origin(tx)
-
-    def _join(self, tx: Tx) -> None:
-        # Whoever would wait for a fetch that is overdue itself is told at once to come back.
-        hops = self.fetching[tx.key][0].hops
-        since = hops[-1].sent if hops and hops[-1].fetches else self.now
-        if since + max(self.origin_took, self.now - since) > tx.goal or self.now - since > self.origin_late:
-            return self._finish(tx)
-        self.fetching[tx.key].append(tx)
-
     def _ask_origin(self, tx: Tx) -> None:
         if self.now < self.rest_until:
             self._finish(tx)
@@ -576,15 +556,6 @@
             if not tx.ended:
                 self._send_fetch(tx)
 
-    def _fetched(self, tx: Tx) -> None:
-        """The fetch of tx's key is over, one way or another: those that waited for it go on."""
-        tx.leads = False
-        waiting = [w for w in self.fetching.pop(tx.key, [])[1:] if not w.ended]
-        host = tx.missed if self.start.aside else None
-        for other in waiting:
-            if host is None or not self._send(other, host, self._not_past(other, host)):
-                self._route(other)
-
     def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
         if e.end is m.End.SKIPPED or (e.end is m.End.CANCELLED and e.took < self.shortest_goal // 2):
             return
@@ -721,7 +692,8 @@
             return
         known = tx.profile.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
         if known or tx.profile.kind is m.Kind.IDEMPOTENT or not any(hop.may_have_run for hop in tx.hops):
-            self.actions.append(m.RollBack(tx.id, min(BACKOFF, self.start.max_backoff)))
+            wait = int(BACKOFF * tx.profile.service_goal)
+            self.actions.append(m.RollBack(tx.id, min(wait, self.start.max_backoff)))
         else:
             self.actions.append(m.Abandon(tx.id))
         self._close(tx)
@@ -734,5 +706,3 @@
                     self.actions.append(m.CancelHop(tx.id, number))
         if not tx.out:
             self.txs.pop(tx.id, None)
-        if tx.leads:
-            self._fetched(tx)
