--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -391,6 +391,9 @@
         """Whether the answer is predicted in time."""
         # Against an estimate that keeps everything away and so never mends: it fades with its age.
         faded = host.took * FADE / max(FADE, self.now - host.seen)
+        # With nothing of ours there the estimate is only an old guess, and one transaction is the trial of it.
+        if not host.inflight and not tx.over:
+            return True
         part = IN_TIME_OVER if tx.over else IN_TIME
         return faded * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
 
