--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -391,7 +391,7 @@
         """Whether the answer is predicted in time."""
         # Against an estimate that keeps everything away and so never mends: it fades with its age.
         faded = host.took * FADE / max(FADE, self.now - host.seen)
-        # With nothing of ours there the estimate is only an old guess, and one transaction is the trial of it.
+        # With nothing of ours there the estimate is only an old guess, and one transaction is its trial.
         if not host.inflight and not tx.over:
             return True
         part = IN_TIME_OVER if tx.over else IN_TIME
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -97,13 +97,16 @@
     p.matches("second_copy")
 
 
-def test_not_in_time_is_rolled_back_at_once() -> None:
+def test_not_in_time_is_rolled_back_at_once_but_for_one_on_trial() -> None:
     p = Play(1)
     settle(p)
     p.end(p.arrive("k1"), m.End.DONE, took=5000)
+    trial = p.arrive("k1")
     p.arrive("k1")
+    p.end(trial, m.End.DONE)
     p.run(3000)
     p.arrive("k1")
+    p.arrive("k1")
     p.matches("not_in_time")
 
 
