--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -462,8 +462,9 @@
         return not known and tx.key ^ host.hash not in self.held
 
     def _not_past(self, tx: Tx, host: CacheHost) -> int:
-        # Cutting hops short costs work twice, so without second copies only a suspect is given less time.
-        if self.start.parallel or tx.profile.kind is m.Kind.NON_IDEMPOTENT or not (host.fails or host.trial):
+        # Cutting hops short does work twice, and in a fleet short of room all look suspect: so without second
+        # copies only a host on trial is given less time.
+        if self.start.parallel or tx.profile.kind is m.Kind.NON_IDEMPOTENT or not host.trial:
             return tx.give_up
         return min(tx.give_up, self.now + int(PATIENCE * tx.profile.service_goal))
 
@@ -693,10 +694,14 @@
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        known = tx.profile.kind is m.Kind.JOURNALLED and tx.profile.scope is m.Scope.ALL
-        if known or tx.profile.kind is m.Kind.IDEMPOTENT or not any(hop.may_have_run for hop in tx.hops):
-            wait = int(BACKOFF * tx.profile.service_goal)
-            self.actions.append(m.RollBack(tx.id, min(wait, self.start.max_backoff)))
+        profile, first = tx.profile, next((hop for hop in tx.hops if hop.may_have_run), None)
+        wait = min(int(BACKOFF * profile.service_goal), self.start.max_backoff)
+        # A repeat of a journalled tx is harmless while it is known, so for no longer is it called so.
+        known = profile.kind is m.Kind.JOURNALLED and profile.scope is m.Scope.ALL
+        if first is not None and self.now + wait - first.sent >= profile.memory - self.margin:
+            known = False
+        if known or first is None or profile.kind is m.Kind.IDEMPOTENT:
+            self.actions.append(m.RollBack(tx.id, wait))
         else:
             self.actions.append(m.Abandon(tx.id))
         self._close(tx)
