--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -34,7 +34,7 @@
 PATIENCE = 0.6
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_OVER, FADE = 0.8, 0.25, SECOND
+IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
@@ -391,10 +391,8 @@
         """Whether the answer is predicted in time."""
         # Against an estimate that keeps everything away and so never mends: it fades with its age.
         faded = host.took * FADE / max(FADE, self.now - host.seen)
-        # With nothing of ours there the estimate is only an old guess, and one transaction is its trial.
-        if not host.inflight and not tx.over:
-            return True
-        part = IN_TIME_OVER if tx.over else IN_TIME
+        # With nothing of ours there the estimate is an old guess, and one more transaction is cheap.
+        part = IN_TIME_OVER if tx.over else IN_TIME if host.inflight else IN_TIME_IDLE
         return faded * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
 
     def _next_groups(self, rng: Range) -> list[int]:
@@ -592,14 +590,24 @@
             self._remember(tx, host, e.end)
         if host.is_origin:
             return
-        if e.end is m.End.DONE:
-            self._well(tx, hop, e.took)
-        elif e.end is m.End.MISS:
+        if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches:
+            self._estimate(hop, e.took)
+        if e.end is m.End.DONE and not hop.judged:
+            host.out_for = OUT_FIRST
+        if e.end is m.End.MISS or (e.end is m.End.DONE and not hop.judged):
             host.fails = 0
             host.trial = False
-        elif e.end not in (m.End.SKIPPED, m.End.CANCELLED, m.End.FULL) and not hop.judged:
+        elif e.end in (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE) and not hop.judged:
             self._failed_once(hop)
 
+    def _estimate(self, hop: Hop, took: int) -> None:
+        # Time-outs count too, or a fleet too crowded to answer would be judged by its quickest answers.
+        host = hop.host
+        step = 1.0 if not host.seen else 0.2 if self.now - host.seen < FADE else 0.5
+        host.took += (took - host.took) * step
+        host.crowd += (hop.crowd - host.crowd) * step
+        host.seen = self.now
+
     def _remember(self, tx: Tx, host: CacheHost, end: m.End) -> None:
         if tx.write:
             for other in self.ready:
@@ -609,18 +617,6 @@
         elif end is m.End.DONE:
             self.held[tx.key ^ host.hash] = self.counted
 
-    def _well(self, tx: Tx, hop: Hop, took: int) -> None:
-        host = hop.host
-        if not hop.judged:
-            host.fails = 0
-            host.trial = False
-            host.out_for = OUT_FIRST
-        step = 1.0 if not host.seen else 0.2 if self.now - host.seen < FADE else 0.5
-        if not hop.fetches:
-            host.took += (took - host.took) * step
-            host.crowd += (hop.crowd - host.crowd) * step
-            host.seen = self.now
-
     def _failed_once(self, hop: Hop) -> None:
         # A fetch that fails tells of its host only while fetches through others succeed.
         if hop.fetches and self.fetch_fails >= ORIGIN_FAILS:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -226,3 +226,16 @@
     p.list(*(line(h, since=p.now - 15_000_000_000) for h in (1, 2, 3)))
     settle(p, rounds=20)
     assert p.balancer.unit_rate > 10
+
+
+def test_time_outs_feed_the_estimate() -> None:
+    """Against a fleet so crowded that only its quickest answers would be counted."""
+    p = Play(1, parallel=False)
+    settle(p)
+    for _ in range(4):
+        p.arrive("k1")
+    for tx in range(p.tx - 3, p.tx + 1):
+        p.end(tx, m.End.TIMED_OUT, took=1500)
+    p.arrive("k1")
+    p.arrive("k2")
+    p.matches("crowded_fleet")
