--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -26,7 +26,7 @@
 HOT_SHARE, HOT_LEAST = 0.05, 8
 SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
-PLACES = 4  # groups looked at for a spill
+PLACES = 4  # drawn among the next-best groups for a spill
 
 # Health and further hops.
 FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 2, SECOND, 8 * SECOND, 0.4
@@ -318,11 +318,14 @@
     def _gain(self, affinity: int, load: int) -> float:
         return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
+    def _lightest(self) -> tuple[int, list[int]]:
+        lightest = min(self.loads)
+        return lightest, [g for g, load in enumerate(self.loads) if load == lightest]
+
     def _place(self, rng: Range) -> None:
         self.loads[rng.group] -= rng.count
-        lightest = min(self.loads)
+        lightest, ties = self._lightest()
         if self._gain(0, lightest) > self._gain(rng.count, self.loads[rng.group]):
-            ties = [g for g, load in enumerate(self.loads) if load == lightest]
             rng.group = self.random.choice(ties)
             rng.spill = -1
         self.loads[rng.group] += rng.count
@@ -398,9 +401,8 @@
     def _next_groups(self, rng: Range) -> list[int]:
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
         best = [] if rng.spill < 0 else [rng.spill]
-        loads = self.loads
-        picked = sorted((self.random.randrange(GROUPS) for _ in range(PLACES * 4)), key=lambda g: loads[g])
-        return best + [g for g in picked if g != rng.group][:PLACES]
+        ties = self._lightest()[1]
+        return best + [self.random.choice(ties) for _ in range(PLACES)]
 
     # ---- a transaction ----
 
@@ -451,7 +453,7 @@
             self._ask_origin(tx)
             return
         resting = tx.write and self.now < self.rest_until
-        if host is None or resting or not self._send(tx, host, self._not_past(tx, host)):
+        if host is None or resting or not self._send(tx, host, tx.give_up):
             self._finish(tx)
 
     def _expects_fetch(self, tx: Tx, host: CacheHost) -> bool:
@@ -459,13 +461,6 @@
         known = self.start.aside or tx.write or tx.range is None
         return not known and tx.key ^ host.hash not in self.held
 
-    def _not_past(self, tx: Tx, host: CacheHost) -> int:
-        # Cutting hops short does work twice, and in a fleet short of room all look suspect: so without second
-        # copies only a host on trial is given less time.
-        if self.start.parallel or tx.profile.kind is m.Kind.NON_IDEMPOTENT or not host.trial:
-            return tx.give_up
-        return min(tx.give_up, self.now + int(PATIENCE * tx.profile.service_goal))
-
     def _hop_late(self, tx: Tx) -> None:
         for hop in tx.hops:
             if hop.out and not hop.judged and not hop.host.is_origin:
