--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -318,15 +318,16 @@
     def _gain(self, affinity: int, load: int) -> float:
         return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
-    def _lightest(self) -> tuple[int, list[int]]:
-        lightest = min(self.loads)
-        return lightest, [g for g, load in enumerate(self.loads) if load == lightest]
+    def _lightest(self, load: int) -> int:
+        # A random one of the ties; a search from a random place, since listing them all cost half of our CPU.
+        start = self.random.randrange(GROUPS)
+        return self.loads.index(load, start) if load in self.loads[start:] else self.loads.index(load)
 
     def _place(self, rng: Range) -> None:
         self.loads[rng.group] -= rng.count
-        lightest, ties = self._lightest()
+        lightest = min(self.loads)
         if self._gain(0, lightest) > self._gain(rng.count, self.loads[rng.group]):
-            rng.group = self.random.choice(ties)
+            rng.group = self._lightest(lightest)
             rng.spill = -1
         self.loads[rng.group] += rng.count
 
@@ -401,8 +402,8 @@
     def _next_groups(self, rng: Range) -> list[int]:
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
         best = [] if rng.spill < 0 else [rng.spill]
-        ties = self._lightest()[1]
-        return best + [self.random.choice(ties) for _ in range(PLACES)]
+        lightest = min(self.loads)
+        return best + [self._lightest(lightest) for _ in range(PLACES)]
 
     # ---- a transaction ----
 
