--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -640,7 +640,8 @@
         while sent and sent[0] <= self.now - span:
             sent.popleft()
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
-        return len(sent) < max(1.0, COLD_MARGIN * self.unit_rate * warmth * host.weight * span / SECOND)
+        part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
+        return len(sent) < max(1.0, part * self.unit_rate * span / SECOND)
 
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
         first = next((hop for hop in tx.hops if hop.may_have_run), None)
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -53,7 +53,6 @@
     memory: int  # how long a repeat of a journalled transaction is known
     service_goal: int
     hard_limit: int
-    revenue: float
     overdue_revenue: float
 
 
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -30,8 +30,7 @@
         m.Profile(
             kind=KINDS[p["Semantics"]], scope=SCOPES[p.get("DedupScope", "cell")],
             memory=p.get("Window", 0) * US, service_goal=p["ServiceGoal"] * US,
-            hard_limit=p["HardLimit"] * US, revenue=p.get("Revenue", 1.0),
-            overdue_revenue=p.get("OverdueRevenue", 0.0),
+            hard_limit=p["HardLimit"] * US, overdue_revenue=p.get("OverdueRevenue", 0.0),
         )
         for p in facts["Profiles"]
     )
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -11,7 +11,7 @@
 from ternquay import model as m
 from ternquay.balance import MS, SECOND, Balancer
 
-READ = m.Profile(m.Kind.IDEMPOTENT, m.Scope.ALL, 0, 600 * MS, 1500 * MS, 1.0, 0.0)
+READ = m.Profile(m.Kind.IDEMPOTENT, m.Scope.ALL, 0, 600 * MS, 1500 * MS, 0.0)
 MARKED = replace(READ, kind=m.Kind.JOURNALLED, memory=300 * MS)
 ONCE = replace(READ, kind=m.Kind.NON_IDEMPOTENT)
 START = m.Started(
