--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -172,9 +172,4 @@
     pass
 
 
-@dataclass(slots=True, frozen=True)
-class Note:
-    text: str
-
-
-Action = SendHop | CancelHop | RollBack | Abandon | SetTimer | WatchList | Note
+Action = SendHop | CancelHop | RollBack | Abandon | SetTimer | WatchList
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -128,9 +128,7 @@
             return {"msg": "Fail", "Who": who, "Corr": self.words[a.tx]}
         if isinstance(a, m.CancelHop):
             return {"msg": "AbortAttempt", "Who": who, "Corr": self.words[a.tx], "Trial": a.hop}
-        if isinstance(a, m.WatchList):
-            return {"msg": "Subscribe", "Who": who, "Want": True}
-        return {"msg": "Trace", "Who": who, "BodyText": a.text}
+        return {"msg": "Subscribe", "Who": who, "Want": True}
 
 
 def read(line: bytes) -> dict[str, Any]:
