One look for the hop that may have run; every hop ends when its tx is given up

The search for the first hop that may have run stood in both halves of the guard; it is one function now.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -454,7 +454,7 @@
             self._ask_origin(tx)
             return
         resting = tx.write and self.now < self.rest_until
-        if host is None or resting or not self._send(tx, host, tx.give_up):
+        if host is None or resting or not self._send(tx, host):
             self._finish(tx)
 
     def _expects_fetch(self, tx: Tx, host: CacheHost) -> bool:
@@ -477,7 +477,7 @@
         if last.fetches and not self._origin_room():
             return
         host = self._choose(tx)
-        if host is not None and self._send(tx, host, tx.give_up):
+        if host is not None and self._send(tx, host):
             self.extra -= 1
 
     def _hop_ended(self, e: m.HopEnded) -> None:
@@ -537,7 +537,7 @@
         host = self.origin if self.start.aside else tx.missed
         # What can't come in time is not fetched, but for one at a time, to find out if the origin is back.
         late = self.now + self.origin_took > tx.goal and self.fetch_out > 0
-        if host is None or late or not self._send(tx, host, tx.give_up):
+        if host is None or late or not self._send(tx, host):
             self._finish(tx)
 
     def _origin_room(self) -> bool:
@@ -643,8 +643,11 @@
         part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
         return len(sent) < max(1.0, part * self.unit_rate * span / SECOND)
 
+    def _first_run(self, tx: Tx) -> Hop | None:
+        return next((hop for hop in tx.hops if hop.may_have_run), None)
+
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
-        first = next((hop for hop in tx.hops if hop.may_have_run), None)
+        first = self._first_run(tx)
         if first is None or tx.profile.kind is m.Kind.IDEMPOTENT:
             return True
         memory, scope = tx.profile.memory - self.margin, tx.profile.scope
@@ -654,7 +657,7 @@
             return host.zone == first.host.zone
         return scope is m.Scope.ALL or host.cell == first.host.cell
 
-    def _send(self, tx: Tx, host: CacheHost, not_past: int) -> bool:
+    def _send(self, tx: Tx, host: CacheHost) -> bool:
         """Every hop passes here: rule 1 (nothing after the answer), 2, 3 and 4."""
         if tx.ended or len(tx.hops) >= self.start.most_hops or self.now >= tx.give_up:
             return False
@@ -680,14 +683,14 @@
             self.fetch_hops.append(hop)
         tx.out += 1
         host.inflight += 1
-        self.actions.append(m.SendHop(tx.id, host.index, not_past))
+        self.actions.append(m.SendHop(tx.id, host.index, tx.give_up))
         return True
 
     def _finish(self, tx: Tx) -> None:
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        profile, first = tx.profile, next((hop for hop in tx.hops if hop.may_have_run), None)
+        profile, first = tx.profile, self._first_run(tx)
         wait = min(int(BACKOFF * profile.service_goal), self.start.max_backoff)
         # A repeat of a journalled tx is harmless while it is known, so for no longer is it called so.
         known = profile.kind is m.Kind.JOURNALLED and profile.scope is m.Scope.ALL
