--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -40,6 +40,7 @@
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN = 1.0
 BACKOFF = 0.1
+SHARE_DEPTH = 5.0
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
 TICK = SECOND // 4
 
@@ -142,7 +143,9 @@
         # What was measured: by profile, by tenant, and of all.
         self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
-        self.share_left, self.share_at = list(self.shares), [0] * len(self.shares)
+        # Against a part of a share so small that a bucket of one second holds no whole transaction of it.
+        self.share_depth = [max(SHARE_DEPTH, rate) for rate in self.shares]
+        self.share_left, self.share_at = list(self.share_depth), [0] * len(self.shares)
         self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
         # The origin: who waits for a place, what is out, where keys were last held.
@@ -442,7 +445,7 @@
         left = self.share_left[tenant] + rate * (self.now - self.share_at[tenant]) / SECOND
         self.share_at[tenant] = self.now
         over = left < 1.0
-        self.share_left[tenant] = min(rate, left) - (0.0 if over else 1.0)
+        self.share_left[tenant] = min(self.share_depth[tenant], left) - (0.0 if over else 1.0)
         return over
 
     def _route(self, tx: Tx) -> None:
