--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -35,7 +35,7 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
-ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 16.0, 0.5, 1.0
+ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN = 1.0
@@ -151,7 +151,9 @@
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
         self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
-        self.origin_limit, self.origin_took = ORIGIN_START, 0.0
+        self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
+        self.origin_least = ORIGIN_LEAST / started.balancers
+        self.fetch_at = self.fetch_judged = 0
         self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
         self.fetch_hops: deque[Hop] = deque()
         self.held: dict[int, int] = {}
@@ -239,6 +241,8 @@
                 self._tick()
             elif what == -2:
                 self.actions.append(m.WatchList())
+            elif what == -3:
+                self._drain_origin()
             else:
                 tx = self.txs.get(what)
                 if tx is None or tx.ended:
@@ -531,10 +535,12 @@
             wait = (len(self.origin_queue) / self.origin_limit + 1) * max(self.origin_took, oldest)
             if self.now + wait > tx.goal or (tx.over and not tx.write):
                 self._finish(tx)
-            elif tx.write:
-                self.origin_queue.appendleft(tx)
             else:
-                self.origin_queue.append(tx)
+                if tx.write:
+                    self.origin_queue.appendleft(tx)
+                else:
+                    self.origin_queue.append(tx)
+                self._drain_origin()
 
     def _send_fetch(self, tx: Tx) -> None:
         host = self.origin if self.start.aside else tx.missed
@@ -549,19 +555,28 @@
             self.fetch_hops.popleft()
         since = self.now - self.origin_late
         overdue = sum(1 for hop in self.fetch_hops if hop.out and hop.sent < since)
-        return self.fetch_out < max(ORIGIN_LEAST, self.origin_limit - 2 * overdue)
+        limit = max(self.origin_least, self.origin_limit - 2 * overdue)
+        # Under one place, as where many balancers share a small origin, a place has a pause after each fetch.
+        if limit < 1.0:
+            return not self.fetch_out and self.now >= self.fetch_at + int(self.origin_took / limit)
+        return self.fetch_out < limit
 
     def _drain_origin(self) -> None:
         while self.origin_queue and self._origin_room():
             tx = self.origin_queue.popleft()
             if not tx.ended:
                 self._send_fetch(tx)
+        if self.origin_queue and not self.fetch_out:
+            self._wake(max(self.now + MS, self.fetch_at + int(self.origin_took / self.origin_limit)), -3)
 
     def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
         if e.end is m.End.SKIPPED or (e.end is m.End.CANCELLED and e.took < self.shortest_goal // 2):
             return
         # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
-        self.origin_took += (e.took - self.origin_took) * (0.1 if self.origin_took else 1.0)
+        # Few fetches of ours tell of a change late, so each counts by the time since the one before it.
+        step = min(0.5, max(0.1, (self.now - self.fetch_judged) / SECOND)) if self.fetch_judged else 1.0
+        self.fetch_judged = self.now
+        self.origin_took += (e.took - self.origin_took) * step
         well = e.end in (m.End.DONE, m.End.TIMED_OUT, m.End.CANCELLED)
         self.fetch_fails = 0 if e.end is m.End.DONE else self.fetch_fails + 1
         if not self.fetch_fails:
@@ -572,9 +587,9 @@
             self.rest_until = self.now + self.rest
         if well and self.origin_took < self.origin_late:
             if self.fetch_out > self.origin_limit / 2:
-                self.origin_limit += 1 / self.origin_limit
+                self.origin_limit += min(self.origin_limit, 1 / self.origin_limit)
         elif hop.sent >= self.origin_cut:
-            self.origin_limit = max(ORIGIN_LEAST, self.origin_limit * 0.8)
+            self.origin_limit = max(self.origin_least, self.origin_limit * 0.8)
             self.origin_cut = self.now
 
     # ---- health ----
@@ -683,6 +698,7 @@
         if host.is_origin or (tx.write and not self.start.aside) or self._expects_fetch(tx, host):
             hop.fetches = True
             self.fetch_out += 1
+            self.fetch_at = self.now
             self.fetch_hops.append(hop)
         tx.out += 1
         host.inflight += 1
