A copy not seen is taken as there while most such copies are found there

Cause: where cache hosts fetch, a key counted as held only if this balancer saw it there; with 100 balancers nearly every read passed the origin's gate and told nothing of its host.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -37,6 +37,7 @@
 IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
+HIT_ENOUGH, HIT_STEP = 0.75, 0.05
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN = 1.0
 BACKOFF = 0.1
@@ -92,6 +93,7 @@
     host: CacheHost
     sent: int
     crowd: int
+    unknown: bool = False  # whether the copy lies there
     fetches: bool = False  # it is expected to need the origin
     out: bool = True
     may_have_run: bool = True
@@ -157,6 +159,8 @@
         self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
         self.fetch_hops: deque[Hop] = deque()
         self.held: dict[int, int] = {}
+        # How often a copy that we did not see is there all the same: the others of N brought it.
+        self.hit_part = 1 - 1 / started.balancers
 
     def decide(self, now: int, event: m.Event) -> list[m.Action]:
         self.now = now
@@ -456,7 +460,7 @@
         if self.start.aside and tx.write:
             return self._ask_origin(tx)
         host = self._choose(tx)
-        if host is not None and self._expects_fetch(tx, host):
+        if host is not None and self._unknown(tx, host) and self.hit_part < HIT_ENOUGH:
             tx.missed = host
             self._ask_origin(tx)
             return
@@ -464,8 +468,9 @@
         if host is None or resting or not self._send(tx, host):
             self._finish(tx)
 
-    def _expects_fetch(self, tx: Tx, host: CacheHost) -> bool:
-        # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first.
+    def _unknown(self, tx: Tx, host: CacheHost) -> bool:
+        # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first, but
+        # not while most such keys are found: of many balancers each sees few of the copies that all brought.
         known = self.start.aside or tx.write or tx.range is None
         return not known and tx.key ^ host.hash not in self.held
 
@@ -602,9 +607,11 @@
             self._judge_origin(hop, e)
         if through:
             self._remember(tx, host, e.end)
+            if hop.unknown and e.note:
+                self.hit_part += ((e.note == 1) - self.hit_part) * HIT_STEP
         if host.is_origin:
             return
-        if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches:
+        if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches and (e.note < 2 or not through):
             self._estimate(hop, e.took)
         if e.end is m.End.DONE and not hop.judged:
             host.out_for = OUT_FIRST
@@ -695,8 +702,10 @@
                 self._wake(self.now + int(PATIENCE * tx.profile.service_goal), tx.id)
         hop = Hop(host, self.now, host.inflight)
         tx.hops.append(hop)
-        if host.is_origin or (tx.write and not self.start.aside) or self._expects_fetch(tx, host):
-            hop.fetches = True
+        hop.unknown = self._unknown(tx, host)
+        hop.fetches = (host.is_origin or (tx.write and not self.start.aside)
+                       or (hop.unknown and self.hit_part < HIT_ENOUGH))
+        if hop.fetches:
             self.fetch_out += 1
             self.fetch_at = self.now
             self.fetch_hops.append(hop)
