--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -62,6 +62,7 @@
 
     seed: int
     balancers: int
+    number: int  # its own among them, from 0
     profiles: tuple[Profile, ...]
     quotas: tuple[float, ...]  # transactions a second within the share, by tenant
     aside: bool
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -35,7 +35,7 @@
         for p in facts["Profiles"]
     )
     return m.Started(
-        seed=seed, balancers=facts["Balancers"], profiles=profiles,
+        seed=seed, balancers=facts["Balancers"], number=facts.get("MyNumber", 0), profiles=profiles,
         quotas=tuple(t["QuotaPerS"] for t in facts.get("Tenants") or []),
         aside=family.get("Mode") == "aside", origin_kind=family.get("OriginKind", -1),
         watch_list=facts.get("Discovery") == "on_request", cancel=limits.get("Cancel", False),
