--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -63,6 +63,7 @@
     """A slice of the hashed keys, or one hot key."""
 
     group: int
+    hash: int
     count: int = 0
     spill: int = -1  # the group of its latest spill
 
@@ -276,7 +277,7 @@
         number = key * RANGES >> 64
         found = self.singles.get(key) or self.ranges.get(number)
         if found is None:
-            found = self.ranges[number] = Range(mix(number + 1) % GROUPS)
+            found = self.ranges[number] = Range(mix(number + 1) % GROUPS, mix(number + 1))
         return found
 
     def _count(self, key: int) -> Range:
@@ -318,7 +319,7 @@
             self._shift(key, self.singles.pop(key), self._range_of(key))
         for key in [k for _, k in ranked if k in hot and k not in self.singles]:
             parent = self._range_of(key)
-            self.singles[key] = Range(parent.group)
+            self.singles[key] = Range(parent.group, key)
             self._shift(key, parent, self.singles[key])
 
     def _shift(self, key: int, old: Range, new: Range) -> None:
@@ -331,16 +332,17 @@
     def _gain(self, affinity: int, load: int) -> float:
         return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
-    def _lightest(self, load: int) -> int:
-        # A random one of the ties; a search from a random place, since listing them all cost half of our CPU.
-        start = self.random.randrange(GROUPS)
+    def _lightest(self, load: int, draw: int) -> int:
+        # A random one of the ties; the draw is the range's and not ours, or every balancer spills to a place of
+        # its own and the origin is asked for each. A search from there: listing all ties cost half of our CPU.
+        start = mix(draw) % GROUPS
         return self.loads.index(load, start) if load in self.loads[start:] else self.loads.index(load)
 
     def _place(self, rng: Range) -> None:
         self.loads[rng.group] -= rng.count
         lightest = min(self.loads)
         if self._gain(0, lightest) > self._gain(rng.count, self.loads[rng.group]):
-            rng.group = self._lightest(lightest)
+            rng.group = self._lightest(lightest, rng.hash)
             rng.spill = -1
         self.loads[rng.group] += rng.count
 
@@ -419,7 +421,7 @@
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
         best = [] if rng.spill < 0 else [rng.spill]
         lightest = min(self.loads)
-        return best + [self._lightest(lightest) for _ in range(PLACES)]
+        return best + [self._lightest(lightest, rng.hash + i) for i in range(PLACES)]
 
     # ---- a transaction ----
 
