--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -37,6 +37,7 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
+FADE_HOPS = 0.5
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -153,6 +154,7 @@
         self.share_left, self.share_at = list(self.share_depth), [0] * len(self.shares)
         self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
+        self.usual, self.usual_at, self.rate, self.arrived = 0.0, 0, 0.0, 0
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
         self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
@@ -269,6 +271,9 @@
             rate = self.warm_sent * SECOND / passed / warm
             self.unit_rate += (rate - self.unit_rate) * (0.1 if self.unit_rate else 1.0)
         self.warm_sent = 0
+        if passed > 0:
+            self.rate += (self.arrived * SECOND / passed - self.rate) * (0.1 if self.rate else 1.0)
+            self.arrived = 0
         self._wake(self.now + TICK, -1)
 
     # ---- the table of ranges ----
@@ -384,7 +389,10 @@
     def _crowded(self, host: CacheHost) -> bool:
         # A cold host whose budget is spent spills as if crowded: rolling back there cost a tenth in a deploy.
         mean = self.inflight / max(1, len(self.ready))
-        return host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR or not self._cold_room(host)
+        if host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR or not self._cold_room(host):
+            return True
+        # Of many balancers each has next to nothing in flight, so a crowd shows in the times alone.
+        return host.seen > 0 and self._predicted(host) > OVER_MULTIPLE * self.usual
 
     def _choose(self, tx: Tx) -> CacheHost | None:
         rng = tx.range
@@ -411,11 +419,16 @@
 
     def _in_time(self, tx: Tx, host: CacheHost) -> bool:
         """Whether the answer is predicted in time."""
-        # Against an estimate that keeps everything away and so never mends: it fades with its age.
-        faded = host.took * FADE / max(FADE, self.now - host.seen)
         # With nothing of ours there the estimate is an old guess, and one more transaction is cheap.
         part = IN_TIME_OVER if tx.over else IN_TIME if host.inflight else IN_TIME_IDLE
-        return faded * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
+        return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
+
+    def _predicted(self, host: CacheHost) -> float:
+        # Against an estimate that keeps everything away and so never mends: a host's fades with its age to what
+        # hosts usually take, and that to nothing. Where hops to a host are rare, it lasts until the next is due.
+        usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
+        lasts = max(FADE, FADE_HOPS * len(self.ready) * SECOND / max(0.1, self.rate))
+        return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
     def _next_groups(self, rng: Range) -> list[int]:
         # The place of the last spill counts as affinity: its server holds the copies that the spill left.
@@ -435,6 +448,7 @@
             tx.give_up = end
         else:
             tx.give_up = min(tx.goal, end)
+        self.arrived += 1
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
         if 0 <= e.tenant < len(self.shares):
             tx.over = self._over_share(e.tenant)
@@ -631,7 +645,11 @@
     def _estimate(self, hop: Hop, took: int) -> None:
         # Time-outs count too, or a fleet too crowded to answer would be judged by its quickest answers.
         host = hop.host
-        step = 1.0 if not host.seen else 0.2 if self.now - host.seen < FADE else 0.5
+        if not host.seen:
+            host.took = self.usual or float(took)
+        step = 0.2 if self.now - host.seen < FADE else 0.5
+        self.usual += (took - self.usual) * (0.1 if self.usual else 1.0)
+        self.usual_at = self.now
         host.took += (took - host.took) * step
         host.crowd += (hop.crowd - host.crowd) * step
         host.seen = self.now
