--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -338,8 +338,8 @@
         return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
     def _lightest(self, load: int, draw: int) -> int:
-        # A random one of the ties; the draw is the range's and not ours, or every balancer spills to a place of
-        # its own and the origin is asked for each. A search from there: listing all ties cost half of our CPU.
+        # A random one of the ties; the draw is the range's and not ours, or every balancer spills to a place
+        # of its own and the origin is asked for each. A search: listing all ties cost half of our CPU.
         start = mix(draw) % GROUPS
         return self.loads.index(load, start) if load in self.loads[start:] else self.loads.index(load)
 
@@ -424,8 +424,8 @@
         return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
 
     def _predicted(self, host: CacheHost) -> float:
-        # Against an estimate that keeps everything away and so never mends: a host's fades with its age to what
-        # hosts usually take, and that to nothing. Where hops to a host are rare, it lasts until the next is due.
+        # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
+        # what hosts usually take, and that to nothing. Where hops to a host are rare, it lasts longer.
         usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
         lasts = max(FADE, FADE_HOPS * len(self.ready) * SECOND / max(0.1, self.rate))
         return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
@@ -490,8 +490,8 @@
             self._finish(tx)
 
     def _unknown(self, tx: Tx, host: CacheHost) -> bool:
-        # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first, but
-        # not while most such keys are found: of many balancers each sees few of the copies that all brought.
+        # Where cache hosts fetch by themselves, a key not known to lie there passes the origin's gate first,
+        # but not while most such are found: of many balancers each sees few of the copies that all brought.
         known = self.start.aside or tx.write or tx.range is None
         return not known and tx.key ^ host.hash not in self.held
 
