Rankings cost one product a host and outlive departures; the tick follows the own rate

Cause: with few transactions a second nearly each paid for a ranking anew, 2 hashes a host, and four ticks a second looked at every host; each change of the list dropped all rankings. Now a product of two hashes ranks, logarithms only where weights differ, only a new host or weight drops rankings, the tick waits for some ten transactions (2 s at most). The memory of a range's latest spill is gone: ties drawn by the range's hash lead there anyway.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -46,7 +46,7 @@
 BACKOFF = 0.1
 SHARE_DEPTH = 5.0
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
-TICK = SECOND // 4
+TICK, TICK_MOST = SECOND // 4, 2 * SECOND
 
 
 def mix(x: int) -> int:
@@ -66,7 +66,6 @@
     group: int
     hash: int
     count: int = 0
-    spill: int = -1  # the group of its latest spill
 
 
 @dataclass(slots=True, eq=False)
@@ -132,7 +131,9 @@
         self.hosts: dict[int, CacheHost] = {}
         self.ready: list[CacheHost] = []
         self.origin: CacheHost | None = None
-        self.orders: dict[int, list[tuple[CacheHost, float]]] = {}
+        self.orders: dict[int, list[CacheHost]] = {}
+        self.ranked: list[CacheHost] = []
+        self.even = True  # all of one weight
         self.ask_wait, self.asked = ASK_FIRST, False
         # Transactions, and when to look at them again.
         self.txs: dict[int, Tx] = {}
@@ -197,9 +198,12 @@
                     host.standing = m.Standing.GONE
         for line in event.lines:
             self._listed(line)
-        self.orders = {}
         up = [h for h in self.hosts.values() if h.standing is m.Standing.READY]
         self.ready = [h for h in up if not h.is_origin]
+        # A host less is passed over where it stands; only a new one, or a new weight, needs new orders.
+        if not {h.index for h in self.ready} <= {h.index for h in self.ranked}:
+            self.orders, self.ranked = {}, list(self.ready)
+            self.even = len({h.weight for h in self.ranked}) < 2
         self.origin = next((h for h in up if h.is_origin), None)
         self.ask_wait = ASK_FIRST
         if self.start.watch_list and not self.asked:
@@ -219,7 +223,9 @@
             host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
             host.out_until, host.out_for, host.trial = 0, OUT_FIRST, False
         host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
-        host.weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
+        weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
+        if weight != host.weight:
+            host.weight, self.ranked = weight, []
 
     def _list_lost(self) -> None:
         # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
@@ -267,14 +273,15 @@
         warm = sum(h.weight for h in self.ready if self._warmth(h) >= 1.0)
         # What warm cache hosts take is measured on them alone: a mostly cold fleet must neither raise the
         # figure nor, after a start of ours in its midst, keep it at nothing.
+        step = min(0.5, 0.1 * passed / TICK)
         if passed > 0 and warm > 0:
             rate = self.warm_sent * SECOND / passed / warm
-            self.unit_rate += (rate - self.unit_rate) * (0.1 if self.unit_rate else 1.0)
-        self.warm_sent = 0
+            self.unit_rate += (rate - self.unit_rate) * (step if self.unit_rate else 1.0)
         if passed > 0:
-            self.rate += (self.arrived * SECOND / passed - self.rate) * (0.1 if self.rate else 1.0)
-            self.arrived = 0
-        self._wake(self.now + TICK, -1)
+            self.rate += (self.arrived * SECOND / passed - self.rate) * (step if self.rate else 1.0)
+        self.warm_sent = self.arrived = 0
+        # Often enough to see some ten transactions: more often costs CPU where each balancer has few.
+        self._wake(self.now + max(TICK, min(TICK_MOST, int(10 * SECOND / max(1.0, self.rate)))), -1)
 
     # ---- the table of ranges ----
 
@@ -340,28 +347,32 @@
     def _lightest(self, load: int, draw: int) -> int:
         # A random one of the ties; the draw is the range's and not ours, or every balancer spills to a place
         # of its own and the origin is asked for each. A search: listing all ties cost half of our CPU.
-        start = mix(draw) % GROUPS
-        return self.loads.index(load, start) if load in self.loads[start:] else self.loads.index(load)
+        try:
+            return self.loads.index(load, mix(draw) % GROUPS)
+        except ValueError:
+            return self.loads.index(load)
 
     def _place(self, rng: Range) -> None:
         self.loads[rng.group] -= rng.count
         lightest = min(self.loads)
         if self._gain(0, lightest) > self._gain(rng.count, self.loads[rng.group]):
             rng.group = self._lightest(lightest, rng.hash)
-            rng.spill = -1
         self.loads[rng.group] += rng.count
 
     # ---- from group to cache host ----
 
-    def _order(self, group: int) -> list[tuple[CacheHost, float]]:
-        if group not in self.orders:
-            ranked = []
-            for host in self.ready:
-                drawn = mix(host.hash ^ mix(group + 1))
-                ranked.append((-host.weight / log((drawn + 1) / (MASK + 2)), host.index, host))
-            ranked.sort(key=lambda r: (r[0], r[1]), reverse=True)
-            self.orders[group] = [(h, mix(h.hash + mix(group + 7)) / MASK) for _, _, h in ranked]
-        return self.orders[group]
+    def _order(self, group: int) -> list[CacheHost]:
+        order = self.orders.get(group)
+        if order is None:
+            # One product for each host and no call: with few transactions a second nearly each pays for one.
+            salt = mix(group + 1) | 1
+            drawn: list[float] = [h.hash * salt & MASK for h in self.ranked]
+            if not self.even:
+                pairs = zip(self.ranked, drawn, strict=True)
+                drawn = [h.weight / -log((d + 1) / (MASK + 2)) for h, d in pairs]
+            ranked = sorted(range(len(drawn)), key=drawn.__getitem__, reverse=True)
+            order = self.orders[group] = [self.ranked[i] for i in ranked]
+        return order
 
     def _warmth(self, host: CacheHost) -> float:
         start = self.start
@@ -371,16 +382,18 @@
         return start.cold_share + (1 - start.cold_share) * max(0, age) / start.warm_within
 
     def _usable(self, host: CacheHost) -> bool:
-        return host.out_until <= self.now and not (host.trial and host.inflight)
+        up = host.standing is m.Standing.READY and host.out_until <= self.now
+        return up and not (host.trial and host.inflight)
 
     def _servers(self, group: int, most: int, skip: list[Hop]) -> list[CacheHost]:
         found: list[CacheHost] = []
-        for host, draw in self._order(group):
+        for host in self._order(group):
             if any(hop.host is host for hop in skip) or not self._usable(host):
                 continue
             # Against a cold cache host that gets its full part at once: of the groups it ranks highest for,
             # it takes those whose draw lies under its warmth, so they come back one by one and stay.
-            if draw <= self._warmth(host):
+            warmth = self._warmth(host)
+            if warmth >= 1.0 or mix(host.hash + mix(group + 7)) <= warmth * MASK:
                 found.append(host)
                 if len(found) >= most:
                     break
@@ -413,7 +426,6 @@
         for group in self._next_groups(rng):
             for host in self._servers(group, 1, tx.hops):
                 if not self._crowded(host) and self._in_time(tx, host):
-                    rng.spill = group
                     return host
         return next((h for h in near if self._in_time(tx, h)), None)
 
@@ -431,10 +443,8 @@
         return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
     def _next_groups(self, rng: Range) -> list[int]:
-        # The place of the last spill counts as affinity: its server holds the copies that the spill left.
-        best = [] if rng.spill < 0 else [rng.spill]
         lightest = min(self.loads)
-        return best + [self._lightest(lightest, rng.hash + i) for i in range(PLACES)]
+        return [self._lightest(lightest, rng.hash + i) for i in range(PLACES)]
 
     # ---- a transaction ----
 
