Aside: a read that no cache host can answer in time goes to an origin that has room

Cause: in a release the last warm hosts answer in 0.7 s and half of the reads are rolled back, while the origin answers in 0.1 s as ever and its gate has places.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -495,6 +495,9 @@
             tx.missed = host
             self._ask_origin(tx)
             return
+        # What no cache host can answer in time the origin may, while it has room for more than the misses.
+        if host is None and self.start.aside and not tx.over and self._origin_room() and not self.origin_queue:
+            return self._ask_origin(tx)
         resting = tx.write and self.now < self.rest_until
         if host is None or resting or not self._send(tx, host):
             self._finish(tx)
