--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -32,6 +32,8 @@
 
 # Health and further hops.
 FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 2, SECOND, 8 * SECOND, 0.4
+# A host that drains turns everything away long before the list says so.
+FAILURES = (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE, m.End.FULL)
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
 PATIENCE = 0.6
 
@@ -266,6 +268,8 @@
                     self._finish(tx)
                 elif tx.out:
                     self._hop_late(tx)
+                else:
+                    self._finish(tx)  # against one that waits most of its time and is turned away then
 
     def _tick(self) -> None:
         passed = self.now - self.tick_at
@@ -496,7 +500,8 @@
             self._ask_origin(tx)
             return
         # What no cache host can answer in time the origin may, while it has room for more than the misses.
-        if host is None and self.start.aside and not tx.over and self._origin_room() and not self.origin_queue:
+        spare = self.start.aside and self._origin_room() and not self.origin_queue
+        if host is None and spare and not tx.over:
             return self._ask_origin(tx)
         resting = tx.write and self.now < self.rest_until
         if host is None or resting or not self._send(tx, host):
@@ -556,10 +561,11 @@
         elif end is m.End.MISS and not hop.host.is_origin:
             tx.missed = tx.missed or hop.host
             self._ask_origin(tx)
-        elif self.extra < 1 or hop.host.is_origin:
+        elif hop.host.is_origin or (self.extra < 1 and end is not m.End.FULL):
             self._finish(tx)
         else:
-            self.extra -= 1
+            # Being turned away cost no work and hardly any time; only other further hops are counted.
+            self.extra -= end is not m.End.FULL
             self._route(tx)
 
     # ---- the origin ----
@@ -579,6 +585,7 @@
                     self.origin_queue.appendleft(tx)
                 else:
                     self.origin_queue.append(tx)
+                self._wake((self.now + tx.goal) // 2, tx.id)
                 self._drain_origin()
 
     def _send_fetch(self, tx: Tx) -> None:
@@ -652,7 +659,7 @@
         if e.end is m.End.MISS or (e.end is m.End.DONE and not hop.judged):
             host.fails = 0
             host.trial = False
-        elif e.end in (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE) and not hop.judged:
+        elif e.end in FAILURES and not hop.judged:
             self._failed_once(hop)
 
     def _estimate(self, hop: Hop, took: int) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -239,3 +239,62 @@
     p.arrive("k1")
     p.arrive("k2")
     p.matches("crowded_fleet")
+
+
+def test_a_host_that_turns_everything_away_is_left_and_costs_no_further_hop() -> None:
+    """Against a draining host of which the list is silent for seconds."""
+    p = Play(3)
+    settle(p)
+    p.balancer.extra = 0.0
+    for _ in range(3):
+        tx = p.arrive("k1")
+        if p.hops[tx] == p.hops[tx - 1] or not p.trace[1:]:
+            p.end(tx, m.End.FULL)
+    p.matches("turned_away")
+
+
+def test_aside_what_no_host_answers_in_time_the_origin_may() -> None:
+    p = Play(1, origin=True)
+    settle(p)
+    p.end(p.arrive("k1"), m.End.DONE, took=5000)
+    p.arrive("k1")
+    p.end(p.arrive("k1"), m.End.DONE)
+    p.matches("overflow")
+
+
+def test_balancers_spread_a_hot_key_over_its_places_and_each_keeps_to_one() -> None:
+    places: set[int] = set()
+    kept = 0
+    for number in range(0, 200, 20):
+        p = Play(60, balancers=200, number=number)
+        for n in range(60):
+            p.end(p.arrive("hot" if n % 4 == 0 else f"k{n}"), m.End.DONE)
+        p.trace.clear()
+        hosts = {p.hops[p.arrive("hot")][0] for _ in range(2)}
+        kept += len(hosts) == 1
+        places |= hosts
+    assert kept >= 8 and len(places) >= 4
+
+
+def test_one_of_many_balancers_paces_its_fetches() -> None:
+    """Against 200 balancers with a place each at an origin that can do ten fetches at a time."""
+    p = Play(3, origin=True, balancers=200)
+    ended = 0
+    for n in range(20):
+        p.arrive(f"w{n}", profile=1)
+        p.run(50)
+        for tx in list(p.hops)[ended:]:
+            p.end(tx, m.End.DONE, took=50)
+        ended = len(p.hops)
+    p.matches("paced")
+
+
+def test_a_part_of_a_share_under_one_tx_still_holds_whole_ones() -> None:
+    p = Play(2, quotas=(40.0,), balancers=200)
+    over = []
+    for _ in range(12):
+        tx = p.arrive("k1", tenant=0)
+        over.append(p.balancer.txs[tx].over)
+        p.end(tx, m.End.DONE)
+        p.run(4000)
+    assert over.count(True) <= 2
