--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -24,7 +24,7 @@
 BETA, GAMMA = 0.9, 1.5
 WINDOW, REPLACE_EVERY = 4096, 512
 HOT_SHARE, HOT_LEAST = 0.05, 8
-SPREAD = 2.0  # a hot key's places, as a multiple of the cache hosts its share would fill
+SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
 SAMPLE = 32  # accesses before a share is believed
 GOLDEN = 0.6180339887498949  # its multiples are evenly spread, wherever one begins
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
@@ -420,7 +420,7 @@
         # Against a hot key that always spills to one and the same place: while hot it first goes down a short
         # prefix of its own ranking.
         share = (rng.count - 1) / max(SAMPLE, len(self.window))
-        near = self._servers(rng.group, 1 + int(share * len(self.ready) * SPREAD), tx.hops)
+        near = self._servers(rng.group, 1 << int(share * len(self.ready) * SPREAD).bit_length(), tx.hops)
         # Of many balancers none has enough in flight to see a crowd, so each begins at a place of its own.
         first = int((self.start.number * GOLDEN + rng.group / GROUPS) % 1 * len(near))
         near = near[first:] + near[:first]
