--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -46,7 +46,7 @@
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN = 1.0
 BACKOFF = 0.1
-SHARE_DEPTH = 5.0
+SHARE_LEAST, SHARE_SPAN = 8.0, 4.0  # a bucket's depth, in transactions and in seconds
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
 TICK, TICK_MOST = SECOND // 4, 2 * SECOND
 
@@ -152,8 +152,8 @@
         # What was measured: by profile, by tenant, and of all.
         self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
-        # Against a part of a share so small that a bucket of one second holds no whole transaction of it.
-        self.share_depth = [max(SHARE_DEPTH, rate) for rate in self.shares]
+        # Against a part of a share so small that its bucket holds no whole transaction.
+        self.share_depth = [max(SHARE_LEAST, SHARE_SPAN * rate) for rate in self.shares]
         self.share_left, self.share_at = list(self.share_depth), [0] * len(self.shares)
         self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
