--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -438,9 +438,12 @@
         # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
         # what hosts usually take, and that to nothing. Where hops to a host are rare, it lasts longer.
         usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
-        lasts = max(FADE, FADE_HOPS * len(self.ready) * SECOND / max(0.1, self.rate))
+        lasts = max(FADE, FADE_HOPS * self._spacing())
         return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
+    def _spacing(self) -> int:
+        return int(len(self.ready) * SECOND / max(0.1, self.rate))
+
     # ---- a transaction ----
 
     def _arrived(self, e: m.TxArrived) -> None:
@@ -651,7 +654,7 @@
             host.fails = 0
             host.trial = False
         elif e.end in FAILURES and not hop.judged:
-            self._failed_once(hop)
+            self._failed_once(hop, self._spacing() > FADE)
 
     def _estimate(self, hop: Hop, took: int) -> None:
         # Time-outs count too, or a fleet too crowded to answer would be judged by its quickest answers.
@@ -673,19 +676,21 @@
         elif end in (m.End.ERROR, m.End.TIMED_OUT):
             self.held.get(tx.key, set()).discard(host.index)
 
-    def _failed_once(self, hop: Hop) -> None:
+    def _failed_once(self, hop: Hop, sure: bool = False) -> None:
         # A fetch that fails tells of its host only while fetches through others succeed.
         if hop.fetches and self.fetch_fails >= ORIGIN_FAILS:
             return
         host = hop.host
         host.fails += 1
-        if host.fails < (1 if host.trial else FAILS) or host.out_until > self.now:
+        if host.fails < (1 if host.trial or sure else FAILS) or host.out_until > self.now:
             return
         # Many at once is the fleet or the origin, not many bad cache hosts: then nobody is taken out.
         out = sum(1 for h in self.ready if h.out_until > self.now or h.trial)
         if not host.trial and out + 1 > OUT_PART * len(self.ready):
             return
-        host.out_until = self.now + host.out_for
+        # Out for less than the time between two of our hops there would be no different from in.
+        spacing = min(self._spacing(), OUT_MOST)
+        host.out_until = self.now + max(host.out_for, spacing)
         host.out_for = min(OUT_MOST, host.out_for * 2)
         host.trial = True
         host.fails = 0
