--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -39,7 +39,6 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
-FADE_HOPS = 0.5
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -438,7 +437,7 @@
         # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
         # what hosts usually take, and that to nothing. Where hops to a host are rare, it lasts longer.
         usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
-        lasts = max(FADE, FADE_HOPS * self._spacing())
+        lasts = max(FADE, self._spacing())
         return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
     def _spacing(self) -> int:
