The records a balancer keeps stand in state.py; each late fetch cuts the origin's limit

Before anything is measured the time between two hops counts as nothing. The traces show a host left after one failure where hops are rare.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -3,18 +3,19 @@
     balancer = Balancer(started)             # a model.Started: the seed and what is told of the deployment
     actions = balancer.decide(now, event)    # whole nanoseconds, a model.Event -> a list of model.Action
 
-The types of both sides stand in ternquay/model.py; the front that feeds them is ternquay/wirehost/. The
-design (PAT, docs/design.md) decides the ordinary path; `_send` and `_finish` guard the four rules.
+The types of both sides stand in ternquay/model.py, the records kept between events in ternquay/state.py; the
+front is ternquay/wirehost/. The design (PAT, docs/design.md) decides the ordinary path; `_send` and `_finish`
+guard the four rules.
 """
 
 from collections import deque
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import heappop, heappush
 from math import log
 from random import Random
 
 from ternquay import model as m
+from ternquay.state import CacheHost, Hop, Range, Tx
 
 MS, SECOND = 1_000_000, 1_000_000_000
 MASK = (1 << 64) - 1
@@ -60,65 +61,6 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
-@dataclass(slots=True, eq=False)
-class Range:
-    """A slice of the hashed keys, or one hot key."""
-
-    group: int
-    hash: int
-    count: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class CacheHost:
-    """What this balancer holds of one cache host, or of the origin, since its latest start."""
-
-    index: int
-    hash: int
-    is_origin: bool
-    since: int
-    standing: m.Standing
-    zone: int = -1
-    cell: int = 0
-    weight: float = 1.0
-    inflight: int = 0
-    fails: int = 0  # in a row
-    out_until: int = 0
-    out_for: int = OUT_FIRST
-    trial: bool = False
-    took: float = 0.0
-    crowd: float = 0.0  # hops in flight when those that gave `took` were sent
-    seen: int = 0
-    cold_sent: deque[int] = field(default_factory=deque)
-
-
-@dataclass(slots=True, eq=False)
-class Hop:
-    host: CacheHost
-    sent: int
-    crowd: int
-    fetches: bool = False  # it is expected to need the origin
-    out: bool = True
-    may_have_run: bool = True
-    judged: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Tx:
-    id: int
-    profile: m.Profile
-    write: bool
-    key: int = 0
-    range: Range | None = None
-    over: bool = False  # beyond its tenant's share
-    goal: int = 0
-    give_up: int = 0
-    hops: list[Hop] = field(default_factory=list)
-    out: int = 0
-    ended: bool = False
-    missed: CacheHost | None = None
-
-
 class Balancer:
     def __init__(self, started: m.Started) -> None:
         self.start = started
@@ -156,7 +98,7 @@
         self.usual, self.usual_at, self.rate, self.arrived = 0.0, 0, 0.0, 0
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
-        self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
+        self.fetch_out = self.fetch_fails = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
         self.origin_least = ORIGIN_LEAST / started.balancers
         self.fetch_at = self.fetch_judged = 0
@@ -218,7 +160,7 @@
             self.hosts[line.host] = host
         elif line.since != host.since and line.standing is m.Standing.READY:
             host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
-            host.out_until, host.out_for, host.trial = 0, OUT_FIRST, False
+            host.out_until, host.out_for, host.trial = 0, 0, False
         host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
         weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
         if weight != host.weight:
@@ -441,7 +383,8 @@
         return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
     def _spacing(self) -> int:
-        return int(len(self.ready) * SECOND / max(0.1, self.rate))
+        """The usual time between two of our hops to one host."""
+        return int(len(self.ready) * SECOND / max(0.1, self.rate)) if self.rate else 0
 
     # ---- a transaction ----
 
@@ -608,7 +551,7 @@
         if self.origin_queue and not self.fetch_out:
             self._wake(max(self.now + MS, self._fetch_next()), -3)
 
-    def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
+    def _judge_origin(self, e: m.HopEnded) -> None:
         if e.end is m.End.SKIPPED or (e.end is m.End.CANCELLED and e.took < self.shortest_goal // 2):
             return
         # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
@@ -627,9 +570,8 @@
         if well and self.origin_took < self.origin_late:
             if self.fetch_out > self.origin_limit / 2:
                 self.origin_limit += min(self.origin_limit, 1 / self.origin_limit)
-        elif hop.sent >= self.origin_cut:
+        else:
             self.origin_limit = max(self.origin_least, self.origin_limit * 0.8)
-            self.origin_cut = self.now
 
     # ---- health ----
 
@@ -638,7 +580,7 @@
         through = not self.start.aside
         fetched = hop.fetches and e.end is not m.End.UNREACHABLE
         if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
-            self._judge_origin(hop, e)
+            self._judge_origin(e)
         if through:
             if e.note and self._unknown(tx, host):
                 self.hit_part += ((e.note == 1) - self.hit_part) * HIT_STEP
@@ -648,7 +590,7 @@
         if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches and (e.note < 2 or not through):
             self._estimate(hop, e.took)
         if e.end is m.End.DONE and not hop.judged:
-            host.out_for = OUT_FIRST
+            host.out_for = 0
         if e.end is m.End.MISS or (e.end is m.End.DONE and not hop.judged):
             host.fails = 0
             host.trial = False
@@ -688,9 +630,8 @@
         if not host.trial and out + 1 > OUT_PART * len(self.ready):
             return
         # Out for less than the time between two of our hops there would be no different from in.
-        spacing = min(self._spacing(), OUT_MOST)
-        host.out_until = self.now + max(host.out_for, spacing)
-        host.out_for = min(OUT_MOST, host.out_for * 2)
+        host.out_for = min(OUT_MOST, max(OUT_FIRST, self._spacing(), host.out_for * 2))
+        host.out_until = self.now + host.out_for
         host.trial = True
         host.fails = 0
 
--- /dev/null
+++ b/ternquay/state.py
@@ -0,0 +1,68 @@
+"""What one balancer keeps, by how long it lives: a hop, a tx, a cache host since its start, a range of keys.
+
+Records only; all that is decided on them stands in ternquay/balance.py.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ternquay import model as m
+
+
+@dataclass(slots=True, eq=False)
+class Range:
+    """A slice of the hashed keys, or one hot key."""
+
+    group: int
+    hash: int
+    count: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class CacheHost:
+    """What this balancer holds of one cache host, or of the origin, since its latest start."""
+
+    index: int
+    hash: int
+    is_origin: bool
+    since: int
+    standing: m.Standing
+    zone: int = -1
+    cell: int = 0
+    weight: float = 1.0
+    inflight: int = 0
+    fails: int = 0  # in a row
+    out_until: int = 0
+    out_for: int = 0
+    trial: bool = False
+    took: float = 0.0
+    crowd: float = 0.0  # hops in flight when those that gave `took` were sent
+    seen: int = 0
+    cold_sent: deque[int] = field(default_factory=deque)
+
+
+@dataclass(slots=True, eq=False)
+class Hop:
+    host: CacheHost
+    sent: int
+    crowd: int
+    fetches: bool = False  # it is expected to need the origin
+    out: bool = True
+    may_have_run: bool = True
+    judged: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Tx:
+    id: int
+    profile: m.Profile
+    write: bool
+    key: int = 0
+    range: Range | None = None
+    over: bool = False  # beyond its tenant's share
+    goal: int = 0
+    give_up: int = 0
+    hops: list[Hop] = field(default_factory=list)
+    out: int = 0
+    ended: bool = False
+    missed: CacheHost | None = None
