The limit is cut once for the fetches out at a time; a crowd by time only where own hops are rare

And where a balancer has many hops to a host its in-flight count tells a crowd better than times do.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -98,7 +98,7 @@
         self.usual, self.usual_at, self.rate, self.arrived = 0.0, 0, 0.0, 0
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
-        self.fetch_out = self.fetch_fails = self.rest = self.rest_until = 0
+        self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
         self.origin_least = ORIGIN_LEAST / started.balancers
         self.fetch_at = self.fetch_judged = 0
@@ -344,7 +344,8 @@
         if host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR or not self._cold_room(host):
             return True
         # Of many balancers each has next to nothing in flight, so a crowd shows in the times alone.
-        return host.seen > 0 and self._predicted(host) > OVER_MULTIPLE * self.usual
+        rare = self._spacing() > FADE
+        return rare and host.seen > 0 and self._predicted(host) > OVER_MULTIPLE * self.usual
 
     def _choose(self, tx: Tx) -> CacheHost | None:
         rng = tx.range
@@ -531,7 +532,9 @@
 
     def _send_fetch(self, tx: Tx) -> None:
         host = self.origin if self.start.aside else tx.missed
-        if host is None or not self._send(tx, host):
+        # What can't come in time is not fetched, but for one at a time, to find out if the origin is back.
+        late = self.now + self.origin_took > tx.goal and self.fetch_out > 0
+        if host is None or late or not self._send(tx, host):
             self._finish(tx)
 
     def _origin_room(self) -> bool:
@@ -551,7 +554,7 @@
         if self.origin_queue and not self.fetch_out:
             self._wake(max(self.now + MS, self._fetch_next()), -3)
 
-    def _judge_origin(self, e: m.HopEnded) -> None:
+    def _judge_origin(self, hop: Hop, e: m.HopEnded) -> None:
         if e.end is m.End.SKIPPED or (e.end is m.End.CANCELLED and e.took < self.shortest_goal // 2):
             return
         # One long answer is a heavy transaction, not a tired origin: only the mean cuts the limit.
@@ -570,8 +573,9 @@
         if well and self.origin_took < self.origin_late:
             if self.fetch_out > self.origin_limit / 2:
                 self.origin_limit += min(self.origin_limit, 1 / self.origin_limit)
-        else:
+        elif hop.sent >= self.origin_cut:
             self.origin_limit = max(self.origin_least, self.origin_limit * 0.8)
+            self.origin_cut = self.now
 
     # ---- health ----
 
@@ -580,7 +584,7 @@
         through = not self.start.aside
         fetched = hop.fetches and e.end is not m.End.UNREACHABLE
         if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
-            self._judge_origin(e)
+            self._judge_origin(hop, e)
         if through:
             if e.note and self._unknown(tx, host):
                 self.hit_part += ((e.note == 1) - self.hit_part) * HIT_STEP
