--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -26,8 +26,7 @@
 WINDOW, REPLACE_EVERY = 4096, 512
 HOT_SHARE, HOT_LEAST = 0.05, 8
 SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
-SAMPLE = 32  # accesses before a share is believed
-GOLDEN = 0.6180339887498949  # its multiples are evenly spread, wherever one begins
+SAMPLE = 128  # accesses before a share is believed
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
 PLACES = 4  # drawn among the next-best groups for a spill
 
@@ -358,7 +357,8 @@
         share = (rng.count - 1) / max(SAMPLE, len(self.window))
         near = self._servers(rng.group, 1 << int(share * len(self.ready) * SPREAD).bit_length(), tx.hops)
         # Of many balancers none has enough in flight to see a crowd, so each begins at a place of its own.
-        first = int((self.start.number * GOLDEN + rng.group / GROUPS) % 1 * len(near))
+        # Half of them keep theirs when a key's places double.
+        first = (self.start.number + rng.group) % len(near) if near else 0
         near = near[first:] + near[:first]
         for host in near:
             if not self._crowded(host):
