A cold host's part under one hop a window is one in several windows

Now a part under one is a wait, the first from a point of its own; before any rate is measured all balancers together send two a window.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -43,7 +43,7 @@
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
-COLD_MARGIN = 1.0
+COLD_MARGIN, COLD_LEAST = 1.0, 2.0  # the least hops a window, of all balancers together
 BACKOFF = 0.1
 SHARE_LEAST, SHARE_SPAN = 8.0, 4.0  # a bucket's depth, in transactions and in seconds
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -160,6 +160,9 @@
         elif line.since != host.since and line.standing is m.Standing.READY:
             host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
             host.out_until, host.out_for, host.trial = 0, 0, False
+        if line.since != host.cold_since:
+            host.cold_since, host.cold_from = line.since, self.now
+            host.cold_wait = mix(host.hash + self.start.number) / MASK
         host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
         weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
         if weight != host.weight:
@@ -650,7 +653,12 @@
             sent.popleft()
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
         part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
-        return len(sent) < max(1.0, part * self.unit_rate * span / SECOND)
+        room = max(COLD_LEAST / self.start.balancers, part * self.unit_rate * span / SECOND)
+        # A part under one hop a window is one in several, and the first at a time of our own: 226 balancers
+        # with a hop each would be ten times what a host that has just started can do.
+        if room < 1.0:
+            return self.now >= host.cold_from + int(host.cold_wait * span / room)
+        return len(sent) < room
 
     def _first_run(self, tx: Tx) -> Hop | None:
         return next((hop for hop in tx.hops if hop.may_have_run), None)
@@ -679,6 +687,7 @@
                 return False
             if self._warmth(host) < 1.0:
                 host.cold_sent.append(self.now)
+                host.cold_from, host.cold_wait = self.now, 1.0
             else:
                 self.warm_sent += 1
             self.inflight += 1
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -39,6 +39,9 @@
     crowd: float = 0.0  # hops in flight when those that gave `took` were sent
     seen: int = 0
     cold_sent: deque[int] = field(default_factory=deque)
+    cold_since: int = 0  # the start that the two below belong to
+    cold_from: int = 0  # the latest hop while cold, or when its start was told
+    cold_wait: float = 0.0  # before the next one, as a part of the time between two
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -84,3 +84,19 @@
     for n in range(200):
         p.arrive(f"k{n}")
     assert sum(len(h) for h in p.hops.values()) == 1
+
+
+def test_all_of_many_balancers_together_spare_a_cold_host() -> None:
+    """Against a floor of one hop a window for each: nine times what the host could do, from 380 balancers."""
+    sent = [0] * 10
+    for number in range(100):
+        p = Play(1, balancers=100, number=number)
+        p.list(line(0, since=T0 - SECOND))
+        for window in range(10):
+            before = len(p.hops)
+            p.arrive(f"a{window}")
+            p.run(500)
+            p.arrive(f"b{window}")
+            p.run(500)
+            sent[window] += len(p.hops) - before
+    assert max(sent) <= 6 and sum(sent) >= 5
