A cold host's budget: half as much again, hot keys and what finds no room go to who stood in for it

What a cold host has no room for now goes down its group's ranking, where the copies lie since it died, and not to a random place.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -43,7 +43,7 @@
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
-COLD_MARGIN, COLD_LEAST = 1.0, 2.0  # the least hops a window, of all balancers together
+COLD_MARGIN, COLD_LEAST = 1.5, 2.0  # the least hops a window, of all balancers together
 BACKOFF = 0.1
 SHARE_LEAST, SHARE_SPAN = 8.0, 4.0  # a bucket's depth, in transactions and in seconds
 ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
@@ -333,17 +333,18 @@
                 continue
             # Against a cold cache host that gets its full part at once: of the groups it ranks highest for,
             # it takes those whose draw lies under its warmth, so they come back one by one and stay.
+            # A key with several places, and all that its budget has no room for, goes to who stood in for it.
             warmth = self._warmth(host)
-            if warmth >= 1.0 or mix(host.hash + mix(group + 7)) <= warmth * MASK:
+            drawn = warmth >= 1.0 or mix(host.hash + mix(group + 7)) <= warmth * MASK
+            if drawn and (warmth >= 1.0 or (most == 1 and self._cold_room(host))):
                 found.append(host)
                 if len(found) >= most:
                     break
         return found
 
     def _crowded(self, host: CacheHost) -> bool:
-        # A cold host whose budget is spent spills as if crowded: rolling back there cost a tenth in a deploy.
         mean = self.inflight / max(1, len(self.ready))
-        if host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR or not self._cold_room(host):
+        if host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR:
             return True
         # Of many balancers each has next to nothing in flight, so a crowd shows in the times alone.
         rare = self._spacing() > FADE
