--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -38,7 +38,8 @@
 PATIENCE = 0.6
 
 # Admission, the origin, cold cache hosts, the list.
-IN_TIME, IN_TIME_IDLE, IN_TIME_OVER, FADE = 0.8, 1.2, 0.25, SECOND
+IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
+CALM_MOST, CALM_LEAST, CALM_GROW = 4.0, 0.25, 0.003
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -94,13 +95,13 @@
         self.share_left, self.share_at = [0.0] * len(self.shares), [0] * len(self.shares)
         self.inflight = self.warm_sent = 0
         self.unit_rate, self.extra = 0.0, EXTRA_MOST
-        self.usual, self.usual_at, self.rate, self.arrived = 0.0, 0, 0.0, 0
+        self.usual, self.usual_at, self.rate, self.arrived, self.calm = 0.0, 0, 0.0, 0, 1e18
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
-        self.fetch_out = self.fetch_fails = self.origin_cut = self.rest = self.rest_until = 0
+        self.fetch_at = self.fetch_judged = self.fetch_out = self.fetch_fails = 0
+        self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
         self.origin_least = ORIGIN_LEAST / started.balancers
-        self.fetch_at = self.fetch_judged = 0
         self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
         self.held: dict[int, set[int]] = {}
         # How often a copy that we did not see is there all the same: the others of N brought it.
@@ -221,6 +222,8 @@
             self.unit_rate += (rate - self.unit_rate) * (step if self.unit_rate else 1.0)
         self.rate += (self.arrived * SECOND / passed - self.rate) * (step if self.rate else 1.0)
         self.warm_sent = self.arrived = 0
+        if self.usual:
+            self.calm = min(self.usual, self.calm + CALM_GROW * self.usual * passed / TICK)
         # Often enough to see some ten transactions: more often costs CPU where each balancer has few.
         self._wake(self.now + max(TICK, min(TICK_MOST, int(10 * SECOND / max(1.0, self.rate)))), -1)
 
@@ -356,12 +359,10 @@
             pool = [h for h in self.ready if self._usable(h) and not any(hop.host is h for hop in tx.hops)]
             pair = [self.random.choice(pool), self.random.choice(pool)] if pool else []
             return min(pair, key=lambda h: h.inflight) if pair else None
-        # Against a hot key that always spills to one and the same place: while hot it first goes down a short
-        # prefix of its own ranking.
+        # Against a hot key that always spills to one and the same place: it has a prefix of its ranking.
         share = (rng.count - 1) / max(SAMPLE, len(self.window))
         near = self._servers(rng.group, 1 << int(share * len(self.ready) * SPREAD).bit_length(), tx.hops)
-        # Of many balancers none has enough in flight to see a crowd, so each begins at a place of its own.
-        # Half of them keep theirs when a key's places double.
+        # Of many balancers none sees a crowd, so each begins at its own; half keep it when places double.
         first = (self.start.number + rng.group) % len(near) if near else 0
         near = near[first:] + near[:first]
         for host in near:
@@ -375,10 +376,13 @@
         return next((h for h in near if self._in_time(tx, h)), None)
 
     def _in_time(self, tx: Tx, host: CacheHost) -> bool:
-        """Whether the answer is predicted in time."""
         # With nothing of ours there the estimate is an old guess, and one more transaction is cheap.
-        part = IN_TIME_OVER if tx.over else IN_TIME if host.inflight else IN_TIME_IDLE
-        return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= part * (tx.goal - self.now)
+        part = IN_TIME if host.inflight or tx.over else IN_TIME_IDLE
+        # Against a jam that outlives its cause, as hosts that hold too many do less: where that is over a
+        # part of the goal, queues are kept to a few times what hops take when all is calm.
+        left = tx.goal - self.now
+        most = min(part * left, max(CALM_LEAST * left, CALM_MOST * self.calm)) * (OVER_PART if tx.over else 1)
+        return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= most
 
     def _predicted(self, host: CacheHost) -> float:
         # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
@@ -439,11 +443,9 @@
         host = self._choose(tx)
         if host is not None and self._expects_fetch(tx, host):
             tx.missed = host
-            self._ask_origin(tx)
-            return
+            return self._ask_origin(tx)
         # What no cache host can answer in time the origin may, while it has room for more than the misses.
-        spare = self.start.aside and self._origin_room() and not self.origin_queue
-        if host is None and spare and not tx.over:
+        if host is None and self.start.aside and not (tx.over or self.origin_queue) and self._origin_room():
             return self._ask_origin(tx)
         resting = tx.write and self.now < self.rest_until
         if host is None or resting or not self._send(tx, host):
