--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -39,7 +39,7 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
-CALM_MOST, CALM_LEAST, CALM_GROW = 4.0, 0.25, 0.003
+CALM_JAM, CALM_MOST, CALM_LEAST, CALM_GROW = 3.0, 4.0, 0.25, 0.003
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -214,8 +214,7 @@
         passed = self.now - self.tick_at
         self.tick_at = self.now
         warm = sum(h.weight for h in self.ready if self._warmth(h) >= 1.0)
-        # What warm cache hosts take is measured on them alone: a mostly cold fleet must neither raise the
-        # figure nor, after a start of ours in its midst, keep it at nothing.
+        # Measured on warm hosts alone: a mostly cold fleet must neither raise it nor keep it at nothing.
         step = min(0.5, 0.1 * passed / TICK)
         if warm > 0:
             rate = self.warm_sent * SECOND / passed / warm
@@ -224,7 +223,7 @@
         self.warm_sent = self.arrived = 0
         if self.usual:
             self.calm = min(self.usual, self.calm + CALM_GROW * self.usual * passed / TICK)
-        # Often enough to see some ten transactions: more often costs CPU where each balancer has few.
+        # Often enough for some ten transactions: more often costs CPU.
         self._wake(self.now + max(TICK, min(TICK_MOST, int(10 * SECOND / max(1.0, self.rate)))), -1)
 
     # ---- the table of ranges ----
@@ -378,18 +377,21 @@
     def _in_time(self, tx: Tx, host: CacheHost) -> bool:
         # With nothing of ours there the estimate is an old guess, and one more transaction is cheap.
         part = IN_TIME if host.inflight or tx.over else IN_TIME_IDLE
-        # Against a jam that outlives its cause, as hosts that hold too many do less: where that is over a
-        # part of the goal, queues are kept to a few times what hops take when all is calm.
         left = tx.goal - self.now
-        most = min(part * left, max(CALM_LEAST * left, CALM_MOST * self.calm)) * (OVER_PART if tx.over else 1)
+        most = part * left
+        # Against a jam that outlives its cause, as hosts that hold too many do less: until it is over queues
+        # are kept to a few times what hops take when all is calm, if that is over a part of the goal.
+        if self.usual > CALM_JAM * self.calm:
+            most = min(most, max(CALM_LEAST * left, CALM_MOST * self.calm))
+        most *= OVER_PART if tx.over else 1.0
         return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= most
 
     def _predicted(self, host: CacheHost) -> float:
         # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
         # what hosts usually take, and that to nothing. Where hops to a host are rare, it lasts longer.
-        usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
+        usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at)) ** 2
         lasts = max(FADE, self._spacing())
-        return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
+        return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen)) ** 2
 
     def _spacing(self) -> int:
         """The usual time between two of our hops to one host."""
@@ -415,8 +417,7 @@
             tx.key = text_hash(e.key)
             tx.range = self._count(tx.key)
         if tx.give_up <= self.now:
-            self._finish(tx)
-            return
+            return self._finish(tx)
         self._wake(tx.give_up, tx.id)
         self._route(tx)
 
@@ -467,8 +468,7 @@
                 # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
                 if hop.crowd <= OVER_FLOOR:
                     self._failed_once(hop)
-        # A late hop alone is mostly a queue or a fetch, which a second copy makes longer; not so where its
-        # host was taken out.
+        # A late hop alone is mostly a queue or a fetch, which a copy makes longer; not so if its host is out.
         last = tx.hops[-1]
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.out_until <= self.now:
             return
