--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -381,7 +381,7 @@
         most = part * left
         # Against a jam that outlives its cause, as hosts that hold too many do less: until it is over queues
         # are kept to a few times what hops take when all is calm, if that is over a part of the goal.
-        if self.usual > CALM_JAM * self.calm:
+        if self.usual > CALM_JAM * self.calm and self.now - self.usual_at < FADE:
             most = min(most, max(CALM_LEAST * left, CALM_MOST * self.calm))
         most *= OVER_PART if tx.over else 1.0
         return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd) <= most
@@ -389,9 +389,9 @@
     def _predicted(self, host: CacheHost) -> float:
         # Against an estimate that keeps everything away and so never mends: a host's fades with its age to
         # what hosts usually take, and that to nothing. Where hops to a host are rare, it lasts longer.
-        usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at)) ** 2
+        usual = self.usual * min(1.0, FADE / max(1, self.now - self.usual_at))
         lasts = max(FADE, self._spacing())
-        return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen)) ** 2
+        return usual + (host.took - usual) * min(1.0, lasts / max(1, self.now - host.seen))
 
     def _spacing(self) -> int:
         """The usual time between two of our hops to one host."""
