--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -232,7 +232,8 @@
         number = key * RANGES >> 64
         found = self.singles.get(key) or self.ranges.get(number)
         if found is None:
-            found = self.ranges[number] = Range(mix(number + 1) % GROUPS, mix(number + 1))
+            drawn = mix(number + 1)
+            found = self.ranges[number] = Range(drawn % GROUPS, drawn)
         return found
 
     def _count(self, key: int) -> Range:
@@ -657,8 +658,7 @@
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
         part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
         room = max(COLD_LEAST / self.start.balancers, part * self.unit_rate * span / SECOND)
-        # A part under one hop a window is one in several, and the first at a time of our own: 226 balancers
-        # with a hop each would be ten times what a host that has just started can do.
+        # A part under one hop a window is one in several, the first at a time of our own: not one of each of N.
         if room < 1.0:
             return self.now >= host.cold_from + int(host.cold_wait * span / room)
         return len(sent) < room
