--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -658,7 +658,7 @@
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
         part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
         room = max(COLD_LEAST / self.start.balancers, part * self.unit_rate * span / SECOND)
-        # A part under one hop a window is one in several, the first at a time of our own: not one of each of N.
+        # A part under one hop a window is one in several, the first at a time of our own; not one from each.
         if room < 1.0:
             return self.now >= host.cold_from + int(host.cold_wait * span / room)
         return len(sent) < room
