SIGHUP reads the configuration again and follows the discovery that it names

At fault: serve.py run() set handlers for SIGTERM and SIGINT alone; Discovery had one address for ever. Now one Discovery stands for one address: on SIGHUP the old one is ended (its call cancelled, nothing it says is taken), the new one asks for the whole list at once, as versions of two addresses need not agree, and watches on from there. A file that can't be read keeps all as it is and is logged with the field at fault; other changed fields are named as waiting for the next start. Until the reactor runs SIGHUP is ignored. The test fails without it (no handler).

--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -63,33 +63,47 @@
 
 
 class Discovery:
+    """Follows the list at one address until end(); for another address there is another of these."""
+
     def __init__(self, reactor: Any, door: Door, limits: Limits, where: Address, since_offset: int) -> None:
         self.reactor, self.door, self.limits, self.since_offset = reactor, door, limits, since_offset
         self.url = f"http://{where.host}:{where.port}/api/targets"
-        pool = HTTPConnectionPool(reactor)
+        self.idle = pool = HTTPConnectionPool(reactor)
         # Against a call that the library makes twice unseen: discovery works through calls in turn.
         pool.retryAutomatically = False
         pool.maxPersistentPerHost = 1
         self.agent = Agent(reactor, connectTimeout=1.0, pool=pool)
-        self.revision = self.called = 0
+        self.revision, self.called = -1, 0  # -1: no list of this address is known yet
         self.out = self.ended = False
+        self.call: Deferred[None] | None = None
 
     def watch(self) -> None:
         """Begins to follow the list, unless it is followed."""
         if not self.out:
             self._call()
 
+    def end(self) -> None:
+        """No further call, and nothing is told any more, not even by the call that is out."""
+        self.ended = True
+        if self.call is not None:
+            self.call.cancel()
+        self.idle.closeCachedConnections().addErrback(lambda _: None)
+
     def take(self, told: Any) -> None:
         """Takes a list in discovery's form and goes on from its revision."""
         self.revision, whole, members = read_list(told, self.since_offset)
         self.door.list_told(whole, members)
 
     def _call(self) -> None:
+        if self.ended:
+            return
         self.out, self.called = True, self.door.now()
-        url = f"{self.url}?index={self.revision}&wait={self.limits.watch // MS}"
-        called: Deferred[bytes] = self.agent.request(b"GET", url.encode()).addCallback(self._body)
+        # The versions of one address need not be those of another: there the whole list comes first.
+        since = f"?index={self.revision}&wait={self.limits.watch // MS}" if self.revision >= 0 else ""
+        url = (self.url + since).encode()
+        called: Deferred[bytes] = self.agent.request(b"GET", url).addCallback(self._body)
         called.addTimeout((self.limits.watch + self.limits.call) / SECOND, self.reactor)
-        called.addCallbacks(self._read).addErrback(self._failed)
+        self.call = called.addCallback(self._read).addErrback(self._failed)
 
     def _body(self, response: Any) -> "Deferred[bytes]":
         body = Body(self.limits.list_bytes)
@@ -100,6 +114,8 @@
         return body.done
 
     def _read(self, body: bytes) -> None:
+        if self.ended:
+            return
         try:
             told = orjson.loads(body)
         except orjson.JSONDecodeError as fault:
--- a/ternquay/net/launch.py
+++ b/ternquay/net/launch.py
@@ -24,6 +24,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Launch:
+    path: str  # the file, which may be read again
     name: str
     listen: Address
     discovery: Address
@@ -75,7 +76,8 @@
 
 def read_launch(path: str = "", env: Mapping[str, str] = os.environ) -> Launch:
     """From the file named, or the one in EDGE_CONFIG; the file goes before the environment."""
-    told = read_file(path or env.get("EDGE_CONFIG", ""))
+    path = path or env.get("EDGE_CONFIG", "")
+    told = read_file(path)
     facts, bounds = part(told, "settings"), part(told, "limits")
     sockets = whole_number(bounds.get("sockets"), "limits.sockets", 48)
     memory = whole_number(bounds.get("memory_mb"), "limits.memory_mb", 64)
@@ -90,7 +92,7 @@
     if not isinstance(known.get("members"), list):
         raise LaunchError("known.members: a list is wanted")
     return Launch(
-        name=str(told.get("name") or env.get("EDGE_NAME", "")),
+        path=path, name=str(told.get("name") or env.get("EDGE_NAME", "")),
         listen=address(told.get("listen", env.get("EDGE_LISTEN")), "listen"),
         discovery=address(told.get("discovery", env.get("EDGE_DISCOVERY")), "discovery"),
         start=start, names=names, known=known, limits=limits,
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -1,8 +1,10 @@
-"""Puts the parts together, listens, and ends in order on SIGTERM."""
+"""Puts the parts together, listens, ends in order on SIGTERM and reads its configuration again on SIGHUP."""
 
 import signal
 import sys
 import time
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from loguru import logger
@@ -16,7 +18,7 @@
 from ternquay.net.discovery import CallFailed, Discovery
 from ternquay.net.door import Door
 from ternquay.net.front import Front
-from ternquay.net.launch import Launch, LaunchError
+from ternquay.net.launch import Address, Launch, LaunchError, read_launch
 from ternquay.net.limits import SECOND
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
@@ -52,16 +54,20 @@
 
     def __init__(self, reactor: Any, launch: Launch) -> None:
         self.reactor, self.launch, self.limits = reactor, launch, launch.limits
-        offset = time.time_ns() - int(reactor.seconds() * SECOND)
+        self.offset = time.time_ns() - int(reactor.seconds() * SECOND)
         sockets = Sockets(self.limits)
         self.door = Door(reactor, launch.start, launch.names, self.limits)
         self.pool = self.door.pool = Pool(reactor, self.door, self.limits, sockets, launch.start.parallel)
         self.front = Front(reactor, self.door, self.limits, sockets)
-        self.discovery = Discovery(reactor, self.door, self.limits, launch.discovery, offset)
-        self.door.watch = self.discovery.watch
+        self.discovery = self._discovery(launch.discovery)
         self.port: Any = None
         self.ending = False
 
+    def _discovery(self, where: Address) -> Discovery:
+        discovery = Discovery(self.reactor, self.door, self.limits, where, self.offset)
+        self.door.watch = discovery.watch
+        return discovery
+
     def begin(self) -> None:
         try:
             self.discovery.take(self.launch.known)
@@ -79,6 +85,29 @@
         self.front.sweep()
         logger.info("{} serves on {}:{}", self.launch.name, where.host, where.port)
 
+    def reload(self) -> None:
+        """SIGHUP: the file is read again; where it can't be used, all stays as it is."""
+        old = self.launch
+        try:
+            new = read_launch(old.path)
+        except LaunchError as fault:
+            logger.error("told to read the configuration again, the old one is kept: {}", fault)
+            return
+        # All else is built into what is open now. The seed and the list known are for starts alone.
+        new = replace(new, start=replace(new.start, seed=old.start.seed))
+        for field in ("name", "listen", "limits", "start"):
+            if getattr(new, field) != getattr(old, field):
+                logger.warning("the configuration has another {}, which waits for the next start", field)
+        logger.info("read the configuration again, discovery: {}:{}", new.discovery.host, new.discovery.port)
+        if new.discovery != old.discovery and not self.ending:
+            self.launch = replace(old, discovery=new.discovery)
+            self.discovery.end()
+            self.discovery = self._discovery(new.discovery)
+            self.discovery.watch()
+
+    def signals(self) -> "dict[signal.Signals, Callable[[], None]]":
+        return {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload}
+
     def end(self) -> None:
         """SIGTERM: clients still come for a moment; then what was taken is finished."""
         if self.ending:
@@ -102,13 +131,14 @@
 
     def _stop(self) -> None:
         if self.reactor.running:
-            self.discovery.ended = True
+            self.discovery.end()
             logger.info("ended, {} transactions open", sum(not tx.answered for tx in self.door.txs.values()))
             self.reactor.stop()
 
 
 def run(launch: Launch) -> None:
     """Serves until it is told to end."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
     globalLogPublisher.addObserver(pass_on)
@@ -117,8 +147,9 @@
     service = Service(reactor, launch)
     service.begin()
 
-    def told(*_: object) -> None:
-        reactor.callFromThread(service.end)
+    def heed(number: signal.Signals, what: Callable[[], None]) -> None:
+        signal.signal(number, lambda *_: reactor.callFromThread(what))
 
-    reactor.callWhenRunning(lambda: [signal.signal(s, told) for s in (signal.SIGTERM, signal.SIGINT)])
+    for number, what in service.signals().items():
+        reactor.callWhenRunning(heed, number, what)
     reactor.run()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 """Front, door and pool together on a clock of the test's own; what is written stands in the traces."""
 
 from pathlib import Path
+from signal import SIGHUP
 from typing import Any
 
 import orjson
@@ -282,19 +283,30 @@
         protocol.connectionLost(Failure(ResponseDone()))  # type: ignore[no-untyped-call]
 
 
-def test_the_list_is_watched_without_a_gap_and_a_failed_call_of_any_kind_is_told() -> None:
-    net = Net()
-    calls: list[Deferred[Any]] = []
+class Agent:
+    """In place of the HTTP library's: keeps the calls, and makes none."""
+
+    def __init__(self, net: Net) -> None:
+        self.net = net
+        self.calls: list[Deferred[Any]] = []
+
+    def __call__(self, *_: Any, **__: Any) -> "Agent":
+        return self
+
+    def request(self, verb: bytes, url: bytes) -> "Deferred[Any]":
+        self.net.say(f"{verb.decode()} {url.decode()[17:]}")
+        self.calls.append(Deferred())
+        return self.calls[-1]
 
-    class Agent:
-        def request(self, verb: bytes, url: bytes) -> "Deferred[Any]":
-            net.say(f"{verb.decode()} {url.decode()[21:]}")
-            call: Deferred[Any] = Deferred()
-            calls.append(call)
-            return call
 
+def test_the_list_is_watched_without_a_gap_and_a_failed_call_of_any_kind_is_told(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    agent = Agent(net)
+    calls = agent.calls
+    monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
     watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
-    watch.agent, net.door.watch = Agent(), watch.watch  # type: ignore[assignment]
+    watch.revision, net.door.watch = 0, watch.watch
     watch.watch()
     good = {"revision": 5, "complete": False, "members": [member(2)]}
     calls[-1].callback(Response(200, orjson.dumps(good)))
@@ -351,6 +363,36 @@
             read_launch("", env)
 
 
+def test_a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "told.json"
+    path.write_bytes(orjson.dumps(TOLD))
+    net = Net()
+    agent = Agent(net)
+    monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
+    service = Service(net.reactor, read_launch(str(path), {}))
+    reload = service.signals()[SIGHUP]
+    service.begin()
+    bad = b'{"discovery":', orjson.dumps(TOLD | {"discovery": 5}), orjson.dumps(TOLD | {"settings": 3})
+    for told in (*bad, orjson.dumps(TOLD | {"listen": "h:1", "discovery": "127.0.0.1:8600"})):
+        path.write_bytes(told)
+        reload()
+        net.say(f"told to read {told[:15]!r}")
+    moved = service.discovery
+    agent.calls[0].callback(Response(200, orjson.dumps({"revision": 9, "complete": True, "members": []})))
+    assert not moved.ended and len(service.pool.places) == 1
+    told_anew = {"revision": 2, "complete": True, "members": [member(2)]}
+    agent.calls[1].callback(Response(200, orjson.dumps(told_anew)))
+    assert len(service.pool.places) == 2
+    agent.calls[-1].errback(connectionDone)
+    net.run(1500)
+    path.write_bytes(orjson.dumps(TOLD))
+    reload()
+    net.run(5000)
+    assert moved.ended
+    net.matches("net_reload")
+
+
 def test_a_planned_end_finishes_what_was_taken_and_closes_between_transactions(tmp_path: Path) -> None:
     path = tmp_path / "told.json"
     path.write_bytes(orjson.dumps(TOLD))
