A connection that breaks under a fetch no longer counts against the origin

Seen in a trace of every hop's end: while cache hosts lose or spoil answers (8 hops in 100) the origin's limit falls from 24 places to 5 and the gate rests, though every fetch that comes back is in time (53 to 80 ms); 3,268 and 1,119 transactions were rolled back there. Ruled out: the sockets (no open transaction turned away, 220 of 256 descriptors), time through the balancer (0.4 ms). At fault: balance.py _judge() counted RESET as a fetch that the origin did not answer. Behind a cache host the connection is the cache host's; in aside mode, where the hop is the origin's own, it counts as before.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -589,8 +589,9 @@
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
         through = not self.start.aside
-        fetched = hop.fetches and e.end is not m.End.UNREACHABLE
-        if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
+        # A connection that breaks under a fetch tells of its cache host, not of the origin behind it.
+        lost = (m.End.UNREACHABLE, m.End.RESET) if through else (m.End.UNREACHABLE,)
+        if (hop.fetches and e.end not in lost) or (through and (e.note > 1 or e.end is m.End.ERROR)):
             self._judge_origin(hop, e)
         if through:
             if e.note and self._unknown(tx, host):
@@ -649,10 +650,9 @@
     # ---- the guard ----
 
     def _cold_room(self, host: CacheHost) -> bool:
-        warmth = self._warmth(host)
+        warmth, sent, span = self._warmth(host), host.cold_sent, self.start.tip_window
         if warmth >= 1.0:
             return True
-        sent, span = host.cold_sent, self.start.tip_window
         while sent and sent[0] <= self.now - span:
             sent.popleft()
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -309,3 +309,14 @@
         p.end(p.arrive("k1"), m.End.DONE, took=200)
     p.arrive("k1")
     p.matches("calm")
+
+
+def test_connections_that_break_under_fetches_tell_nothing_of_the_origin() -> None:
+    """Against a gate that closes on hosts that lose answers, while every fetch that comes back is in time."""
+    p = Play(6)
+    settle(p)
+    for n in range(6):
+        p.end(p.arrive(f"w{n}", profile=2), m.End.RESET)
+    p.end(p.arrive("w6", profile=2), m.End.DONE)
+    assert p.balancer.origin_limit >= ORIGIN_START / 2 and not p.balancer.rest_until
+    p.matches("origin_kept")
