As many failures in a row as chance seldom brings take a cache host out, not two

What crosses the sockets: 40 hops a second to each host, of which 8 in 100 are reset and as many late, wherever they go; two in a row come up every few seconds. Ruled out: slow hosts (mean hit 25 to 61 ms at all), stale discovery (the list was told within 0.5 s), sockets. At fault: balance.py _failed_once(), FAILS = 2 at any rate, and one on trial. Now as many are due as come together by chance once a minute at the share of all hops that fails, 2 to 8, half on trial; at two hops a second that is 2 as before. As a silent host gets a crowd before so many are late, a late hop counts also if nothing has been heard from its host since it was sent.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -3,9 +3,8 @@
     balancer = Balancer(started)             # a model.Started: the seed and what is told of the deployment
     actions = balancer.decide(now, event)    # whole nanoseconds, a model.Event -> a list of model.Action
 
-The types of both sides stand in ternquay/model.py, the records kept between events in ternquay/state.py; the
-front is ternquay/wirehost/. The design (PAT, docs/design.md) decides the ordinary path; `_send` and `_finish`
-guard the four rules.
+The types of both sides stand in ternquay/model.py, the records kept between events in ternquay/state.py. The
+design (PAT, docs/design.md) decides the ordinary path; `_send` and `_finish` guard the four rules.
 """
 
 from collections import deque
@@ -31,7 +30,8 @@
 PLACES = 4  # drawn among the next-best groups for a spill
 
 # Health and further hops.
-FAILS, OUT_FIRST, OUT_MOST, OUT_PART = 2, SECOND, 8 * SECOND, 0.4
+FAILS, FAILS_MOST, OUT_FIRST, OUT_MOST, OUT_PART = 2, 8, SECOND, 8 * SECOND, 0.4
+CHANCE, FAILING_STEP, FAILING_LEAST = 60 * SECOND, 0.01, 0.02
 # A host that drains turns everything away long before the list says so.
 FAILURES = (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE, m.End.FULL)
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
@@ -47,8 +47,7 @@
 COLD_MARGIN, COLD_LEAST = 1.5, 2.0  # the least hops a window, of all balancers together
 BACKOFF = 0.1
 SHARE_LEAST, SHARE_SPAN = 8.0, 4.0  # a bucket's depth, in transactions and in seconds
-ASK_FIRST, ASK_MOST = SECOND // 2, 4 * SECOND
-TICK, TICK_MOST = SECOND // 4, 2 * SECOND
+ASK_FIRST, ASK_MOST, TICK, TICK_MOST = SECOND // 2, 4 * SECOND, SECOND // 4, 2 * SECOND
 
 
 def mix(x: int) -> int:
@@ -65,7 +64,6 @@
     def __init__(self, started: m.Started) -> None:
         self.start = started
         self.random = Random(started.seed)
-        self.now = 0
         self.actions: list[m.Action] = []
         self.margin = started.quantum + 2 * MS
         self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
@@ -75,26 +73,23 @@
         self.origin: CacheHost | None = None
         self.orders: dict[int, list[CacheHost]] = {}
         self.ranked: list[CacheHost] = []
-        self.even = True  # all of one weight
-        self.ask_wait, self.asked = ASK_FIRST, False
+        self.ask_wait, self.asked, self.even = ASK_FIRST, False, True  # even: all of one weight
         # Transactions, and when to look at them again.
         self.txs: dict[int, Tx] = {}
         self.heap: list[tuple[int, int, int]] = []
-        self.heap_seq = self.timer_at = self.tick_at = 0
+        self.now = self.heap_seq = self.timer_at = self.tick_at = 0
         # The table of ranges over its window.
         self.ranges: dict[int, Range] = {}
         self.singles: dict[int, Range] = {}
         self.window: deque[int] = deque()
         self.key_counts: dict[int, int] = {}
-        self.loads = [0] * GROUPS
+        self.loads, self.counted = [0] * GROUPS, 0
         self.changed: dict[int, None] = {}
-        self.counted = 0
         # What was measured: by profile, by tenant, and of all.
         self.usual_ttl = [0] * len(started.profiles)
         self.shares = [q / started.balancers for q in started.quotas]
         self.share_left, self.share_at = [0.0] * len(self.shares), [0] * len(self.shares)
-        self.inflight = self.warm_sent = 0
-        self.unit_rate, self.extra = 0.0, EXTRA_MOST
+        self.inflight, self.warm_sent, self.unit_rate, self.extra, self.failing = 0, 0, 0.0, EXTRA_MOST, 0.0
         self.usual, self.usual_at, self.rate, self.arrived, self.calm = 0.0, 0, 0.0, 0, 1e18
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
@@ -432,8 +427,7 @@
 
     def _over_share(self, tenant: int) -> bool:
         rate = self.shares[tenant]
-        # Against a part of a share so small that its bucket would hold no whole transaction.
-        depth = max(SHARE_LEAST, SHARE_SPAN * rate)
+        depth = max(SHARE_LEAST, SHARE_SPAN * rate)  # never under one whole transaction
         left = min(depth, self.share_left[tenant] + rate * (self.now - self.share_at[tenant]) / SECOND)
         self.share_at[tenant] = self.now
         self.share_left[tenant] = left if left < 1.0 else left - 1.0
@@ -466,8 +460,8 @@
         for hop in tx.hops:
             if hop.out and not hop.judged and not hop.host.is_origin:
                 hop.judged = True
-                # A hop sent into a crowd is late by our doing; only one that had room tells of its host.
-                if hop.crowd <= OVER_FLOOR:
+                # A hop sent into a crowd is late by our doing; one that had room, or silence, tells of it.
+                if hop.crowd <= OVER_FLOOR or hop.host.heard < hop.sent:
                     self._failed_once(hop)
         # A late hop alone is mostly a queue or a fetch, which a copy makes longer; not so if its host is out.
         last = tx.hops[-1]
@@ -601,8 +595,11 @@
             return
         if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches and (e.note < 2 or not through):
             self._estimate(hop, e.took)
-        if e.end is m.End.DONE and not hop.judged:
-            host.out_for = 0
+        if e.end not in (m.End.SKIPPED, m.End.CANCELLED):
+            self.failing += ((hop.judged or e.end in FAILURES) - self.failing) * FAILING_STEP
+        if e.end is m.End.DONE:
+            host.heard = self.now
+            host.out_for = host.out_for if hop.judged else 0
         if e.end is m.End.MISS or (e.end is m.End.DONE and not hop.judged):
             host.fails = 0
             host.trial = False
@@ -629,23 +626,27 @@
         elif end in (m.End.ERROR, m.End.TIMED_OUT):
             self.held.get(tx.key, set()).discard(host.index)
 
+    def _fails_due(self, trial: bool) -> int:
+        # Against healthy hosts left out, as where hops are many two in a row fail by chance: as many are due
+        # as come together at one host once in CHANCE, at the share of all hops that fail; half on trial.
+        run = log((self._spacing() or CHANCE) / CHANCE) / log(min(0.5, max(FAILING_LEAST, self.failing)))
+        due = max(FAILS, min(FAILS_MOST, int(run) + 1))
+        return due // 2 if trial else due
+
     def _failed_once(self, hop: Hop, sure: bool = False) -> None:
         # A fetch that fails tells of its host only while fetches through others succeed.
         if hop.fetches and self.fetch_fails >= ORIGIN_FAILS:
             return
         host = hop.host
         host.fails += 1
-        if host.fails < (1 if host.trial or sure else FAILS) or host.out_until > self.now:
+        if host.fails < (1 if sure else self._fails_due(host.trial)) or host.out_until > self.now:
             return
-        # Many at once is the fleet or the origin, not many bad cache hosts: then nobody is taken out.
-        out = sum(1 for h in self.ready if h.out_until > self.now or h.trial)
+        out = sum(1 for h in self.ready if h.out_until > self.now or h.trial)  # many: not they
         if not host.trial and out + 1 > OUT_PART * len(self.ready):
             return
         # Out for less than the time between two of our hops there would be no different from in.
         host.out_for = min(OUT_MOST, max(OUT_FIRST, self._spacing(), host.out_for * 2))
-        host.out_until = self.now + host.out_for
-        host.trial = True
-        host.fails = 0
+        host.out_until, host.trial, host.fails = self.now + host.out_for, True, 0
 
     # ---- the guard ----
 
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -38,6 +38,7 @@
     took: float = 0.0
     crowd: float = 0.0  # hops in flight when those that gave `took` were sent
     seen: int = 0
+    heard: int = 0  # when it last answered a hop
     cold_sent: deque[int] = field(default_factory=deque)
     cold_since: int = 0  # the start that the two below belong to
     cold_from: int = 0  # the latest hop while cold, or when its start was told
