An answer that later ones overtook is lost: asked for again, and no mark of slowness

Seen in the trace: from 41 to 51 s four of eleven cache hosts give no answer to one hop in four (46 to 67 time-outs each in 10 s at one balancer) while their other hits come back in 30 to 46 ms; hops time out, the estimates of these hosts and of the origin take the time-outs for slowness, and their keys are rolled back or spilled. Ruled out: a hang (answers go on all the time, spread over the whole span), a crowd (mean hits as elsewhere), our connections (one hop each, written whole). At fault: balance.py _hop_late() sent a second hop only past a host that is out; _estimate() and _judge_origin() counted each time-out. Now a hop that is late, out for LOST = 2 times what its host (a fetch: the origin) usually takes, and overtaken by one sent later is lost: a second hop goes to the same host, where the key now lies, within the budget of further hops and rule 2, and the time-out counts in no estimate. A slow host or a crowd raises the usual time, which ends this.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -35,7 +35,7 @@
 # A host that drains turns everything away long before the list says so.
 FAILURES = (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE, m.End.FULL)
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
-PATIENCE = 0.6
+PATIENCE, LOST = 0.6, 2.0
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
@@ -93,7 +93,7 @@
         self.usual, self.usual_at, self.rate, self.arrived, self.calm = 0.0, 0, 0.0, 0, 1e18
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
-        self.fetch_at = self.fetch_judged = self.fetch_out = self.fetch_fails = 0
+        self.fetch_at = self.fetch_newest = self.fetch_judged = self.fetch_out = self.fetch_fails = 0
         self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
         self.origin_least = ORIGIN_LEAST / started.balancers
@@ -456,6 +456,12 @@
         known = self.start.aside or tx.write or tx.range is None
         return not known and host.index not in self.held.get(tx.key, ())
 
+    def _overtaken(self, hop: Hop) -> bool:
+        """Later ones came back, and it is out for a multiple of what they usually take: it is lost."""
+        if hop.fetches:
+            return self.fetch_newest > hop.sent and self.now - hop.sent > LOST * self.origin_took
+        return hop.host.newest > hop.sent and self.now - hop.sent > LOST * self._predicted(hop.host)
+
     def _hop_late(self, tx: Tx) -> None:
         for hop in tx.hops:
             if hop.out and not hop.judged and not hop.host.is_origin:
@@ -463,13 +469,15 @@
                 # A hop sent into a crowd is late by our doing; one that had room, or silence, tells of it.
                 if hop.crowd <= OVER_FLOOR or hop.host.heard < hop.sent:
                     self._failed_once(hop)
-        # A late hop alone is mostly a queue or a fetch, which a copy makes longer; not so if its host is out.
+        # A late hop alone is mostly a queue or a fetch, which a copy makes longer; not so if its host is out,
+        # or if its answer is lost: then the copy goes where the key now lies.
         last = tx.hops[-1]
-        if not self.start.parallel or tx.out > 1 or self.extra < 1 or last.host.out_until <= self.now:
+        out, lost = last.host.out_until > self.now, self._overtaken(last)
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or not (out or lost):
             return
         if last.fetches and not self._origin_room():
             return
-        host = self._choose(tx)
+        host = last.host if lost and self._usable(last.host) else self._choose(tx)
         if host is not None and self._send(tx, host):
             self.extra -= 1
 
@@ -478,12 +486,10 @@
         if tx is None or e.hop >= len(tx.hops) or not tx.hops[e.hop].out:
             return
         hop = tx.hops[e.hop]
-        hop.out = False
-        hop.may_have_run = e.end > m.End.MISS
+        hop.out, hop.may_have_run = False, e.end > m.End.MISS
         tx.out -= 1
         hop.host.inflight -= 1
-        if not hop.host.is_origin:
-            self.inflight -= 1
+        self.inflight -= not hop.host.is_origin
         self._judge(tx, hop, e)
         if e.closed and not tx.ended:
             self._close(tx)
@@ -524,10 +530,7 @@
             if self.now + wait > tx.goal or (tx.over and not tx.write):
                 self._finish(tx)
             else:
-                if tx.write:
-                    self.origin_queue.appendleft(tx)
-                else:
-                    self.origin_queue.append(tx)
+                (self.origin_queue.appendleft if tx.write else self.origin_queue.append)(tx)
                 self._wake((self.now + tx.goal) // 2, tx.id)
                 self._drain_origin()
 
@@ -582,9 +585,10 @@
     def _judge(self, tx: Tx, hop: Hop, e: m.HopEnded) -> None:
         host = hop.host
         through = not self.start.aside
-        # A connection that breaks under a fetch tells of its cache host, not of the origin behind it.
-        lost = (m.End.UNREACHABLE, m.End.RESET) if through else (m.End.UNREACHABLE,)
-        if (hop.fetches and e.end not in lost) or (through and (e.note > 1 or e.end is m.End.ERROR)):
+        # An answer lost on its way to us tells of its cache host, not of the origin behind it.
+        lost = through and (e.end is m.End.RESET or (e.end is m.End.TIMED_OUT and self._overtaken(hop)))
+        fetched = hop.fetches and not lost and e.end is not m.End.UNREACHABLE
+        if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
             self._judge_origin(hop, e)
         if through:
             if e.note and self._unknown(tx, host):
@@ -592,16 +596,17 @@
             self._remember(tx, host, e.end)
         if host.is_origin:
             return
-        if e.end in (m.End.DONE, m.End.TIMED_OUT) and not hop.fetches and (e.note < 2 or not through):
+        late = e.end is m.End.TIMED_OUT and not self._overtaken(hop)
+        if (late or e.end is m.End.DONE) and not hop.fetches and (e.note < 2 or not through):
             self._estimate(hop, e.took)
         if e.end not in (m.End.SKIPPED, m.End.CANCELLED):
             self.failing += ((hop.judged or e.end in FAILURES) - self.failing) * FAILING_STEP
         if e.end is m.End.DONE:
-            host.heard = self.now
+            host.heard, host.newest = self.now, max(host.newest, hop.sent)
+            self.fetch_newest = max(self.fetch_newest, hop.sent * hop.fetches)
             host.out_for = host.out_for if hop.judged else 0
         if e.end is m.End.MISS or (e.end is m.End.DONE and not hop.judged):
-            host.fails = 0
-            host.trial = False
+            host.fails, host.trial = 0, False
         elif e.end in FAILURES and not hop.judged:
             self._failed_once(hop, self._spacing() > FADE)
 
@@ -664,11 +669,8 @@
             return self.now >= host.cold_from + int(host.cold_wait * span / room)
         return len(sent) < room
 
-    def _first_run(self, tx: Tx) -> Hop | None:
-        return next((hop for hop in tx.hops if hop.may_have_run), None)
-
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
-        first = self._first_run(tx)
+        first = next((hop for hop in tx.hops if hop.may_have_run), None)
         if first is None or tx.profile.kind is m.Kind.IDEMPOTENT:
             return True
         memory, scope = tx.profile.memory - self.margin, tx.profile.scope
@@ -712,7 +714,7 @@
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        profile, first = tx.profile, self._first_run(tx)
+        profile, first = tx.profile, next((hop for hop in tx.hops if hop.may_have_run), None)
         wait = min(int(BACKOFF * profile.service_goal), self.start.max_backoff)
         # A repeat of a journalled tx is harmless while it is known, so for no longer is it called so.
         known = profile.kind is m.Kind.JOURNALLED and profile.scope is m.Scope.ALL
@@ -726,9 +728,7 @@
 
     def _close(self, tx: Tx) -> None:
         tx.ended = True
-        if tx.out and self.start.cancel:
-            for number, hop in enumerate(tx.hops):
-                if hop.out:
-                    self.actions.append(m.CancelHop(tx.id, number))
+        if self.start.cancel:
+            self.actions += [m.CancelHop(tx.id, n) for n, hop in enumerate(tx.hops) if hop.out]
         if not tx.out:
             self.txs.pop(tx.id, None)
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -39,6 +39,7 @@
     crowd: float = 0.0  # hops in flight when those that gave `took` were sent
     seen: int = 0
     heard: int = 0  # when it last answered a hop
+    newest: int = 0  # when the latest hop that it has answered was sent
     cold_sent: deque[int] = field(default_factory=deque)
     cold_since: int = 0  # the start that the two below belong to
     cold_from: int = 0  # the latest hop while cold, or when its start was told
