Cache hosts that are gone leave no table behind; idle connections are looked at before use

They now end with the told removal, a place with its last connection; a removal of an id never known makes no entry. Indices go on counting, so that a late end of a hop meets no other host. A connection that the cache host has closed, or has written more to than was owed, and which the reactor has not read yet, got the next hop and lost it; pool.py _connection() now looks (one call of the system a hop) before it is used. Tests: fail without it.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -19,7 +19,6 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 MASK = (1 << 64) - 1
 
-# The table of the design page.
 RANGES, GROUPS = 8192, 2048
 BETA, GAMMA = 0.9, 1.5
 WINDOW, REPLACE_EVERY = 4096, 512
@@ -132,6 +131,7 @@
                     host.standing = m.Standing.GONE
         for line in event.lines:
             self._listed(line)
+        self.hosts = {i: host for i, host in self.hosts.items() if host.standing is not m.Standing.GONE}
         up = [h for h in self.hosts.values() if h.standing is m.Standing.READY]
         self.ready = [h for h in up if not h.is_origin]
         # A host less is passed over where it stands; only a new one, or a new weight, needs new orders.
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -105,7 +105,9 @@
 
     def give_up(self, hop: Outgoing) -> None: ...
 
-    def listed(self, index: int, address: Address | None, ready: bool) -> None: ...
+    def listed(self, index: int, address: Address, ready: bool) -> None: ...
+
+    def unlisted(self, index: int) -> None: ...
 
 
 class Door:
@@ -117,7 +119,7 @@
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
         self.txs: dict[int, OpenTx] = {}
-        self.next_tx = self.held = 0
+        self.next_tx = self.next_host = self.held = 0
         self.events: deque[m.Event] = deque()
         self.busy = False
 
@@ -261,18 +263,25 @@
         self.happened(m.ListLost())
 
     def list_told(self, whole: bool, members: tuple[Member, ...]) -> None:
-        lines = tuple(self._line(member) for member in members)
+        gone = {member.id for member in members if member.standing is m.Standing.GONE} & self.hosts.keys()
         if whole:
-            for index in set(self.hosts.values()) - {line.host for line in lines}:
-                self.pool.listed(index, None, False)
+            gone |= self.hosts.keys() - {member.id for member in members}
+        # One that is gone and never was known here is nobody's: ids are ever new, and would be kept for ever.
+        members = tuple(x for x in members if x.standing is not m.Standing.GONE or x.id in gone)
+        lines = tuple(self._line(member) for member in members)
         for line, member in zip(lines, members, strict=True):
             self.pool.listed(line.host, member.where, line.standing is m.Standing.READY)
         self.happened(m.ListChanged(whole, lines))
+        for name in sorted(gone):
+            self.pool.unlisted(self.hosts.pop(name))
 
     def _line(self, member: Member) -> m.Listed:
         # The id stands for the host: it is the same at every balancer, where the address may differ.
+        if member.id not in self.hosts:
+            self.hosts[member.id] = self.next_host
+            self.next_host += 1
         return m.Listed(
-            host=self.hosts.setdefault(member.id, len(self.hosts)), address=member.id,
+            host=self.hosts[member.id], address=member.id,
             zone=self.names.zones.get(member.zone, -1), kind=self.names.kinds.get(member.kind, -1),
             cell=member.cell, standing=member.standing, hint=member.hint, since=member.since,
         )
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -14,6 +14,16 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
 
+    def untouched(self) -> bool:
+        """Whether nothing has come that was not read yet, neither bytes nor the other side's end."""
+        try:
+            self.transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def shut(self) -> bool:
         """Ends an idle connection at once, unless bytes have come that were not read: they would be lost.
 
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -149,9 +149,10 @@
 class HostPlace:
     """The connections to one cache host."""
 
-    def __init__(self) -> None:
+    def __init__(self, index: int) -> None:
+        self.index = index
         self.address: Address | None = None
-        self.ready = False
+        self.ready = self.gone = False
         self.all: dict[HostConnection, None] = {}
         self.idle: list[HostConnection] = []  # the one used last at the end
 
@@ -166,17 +167,23 @@
 
     # ---- for the door ----
 
-    def listed(self, index: int, address: Address | None, ready: bool) -> None:
-        place = self.places.setdefault(index, HostPlace())
-        if address is not None and address != place.address:
-            place.address = address
-            self._close_idle(place)
-        place.ready = ready
-        if not ready:
+    def listed(self, index: int, address: Address, ready: bool) -> None:
+        place = self.places.setdefault(index, HostPlace(index))
+        if address != place.address or not ready:
             self._close_idle(place)
+        place.address, place.ready = address, ready
+
+    def unlisted(self, index: int) -> None:
+        """The cache host is gone for good; its place goes with its last connection."""
+        place = self.places[index]
+        place.ready, place.gone = False, True
+        self._close_idle(place)
+        if not place.all:
+            self.places.pop(index, None)
 
     def send(self, hop: Outgoing) -> None:
-        connection = self._connection(self.places[hop.host])
+        place = self.places.get(hop.host)
+        connection = self._connection(place) if place is not None else None
         if connection is None:
             # Not the cache host's fault, and never sent.
             self.door.hop_ended(hop, m.End.SKIPPED)
@@ -193,7 +200,8 @@
         now = self.door.now()
         while place.idle:
             connection = place.idle.pop()
-            if now - connection.idle_since < self.limits.idle:
+            # What the cache host closed, or added to its answer, may lie here unread: the hop would be lost.
+            if now - connection.idle_since < self.limits.idle and connection.untouched():
                 return connection
             connection.retire()
         if self.sockets.may_open():
@@ -224,6 +232,8 @@
         if connection in place.all:
             del place.all[connection]
             self.sockets.hosts -= 1
+            if place.gone and not place.all:
+                self.places.pop(place.index, None)
         if connection in place.idle:
             place.idle.remove(connection)
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -135,7 +135,8 @@
 
     def __init__(self, net: "Net", name: str, protocol: Any) -> None:
         self.net, self.name, self.protocol, self.producer = net, name, protocol, None
-        self.pending, self.unread, self.closing, self.lost = b"", b"", False, False
+        self.pending, self.closing, self.lost = b"", False, False
+        self.unread: bytes | None = None  # b"": the other side's end
         protocol.makeConnection(self)
 
     def setTcpNoDelay(self, on: bool) -> None:
@@ -155,6 +156,8 @@
         return self
 
     def recv(self, size: int, flags: int) -> bytes:
+        if self.unread is None:
+            raise BlockingIOError
         return self.unread
 
     def shutdown(self, how: int) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -257,6 +257,36 @@
     net.matches("net_forgotten")
 
 
+def test_hosts_that_are_gone_leave_nothing_behind_once_their_last_hop_has_ended() -> None:
+    net = Net(hosts=1)
+    client = net.client()
+    client.feed(mg(1) + mg(2))
+    busy, idle = net.accept(), net.accept()
+    idle.feed(va(2))
+    for host in range(2, 40):
+        net.list(member(host), member(host - 1, "removed"))
+        net.list(member(host + 100, "removed"))
+    net.run(1)
+    assert idle.lost and list(net.pool.places) == [0, 38]
+    busy.feed(va(1))
+    net.run(1)
+    assert busy.lost and len(net.pool.places) == len(net.door.hosts) == len(net.door.balancer.hosts) == 1
+    assert net.sockets.hosts == 0
+    net.matches("net_gone")
+
+
+@pytest.mark.parametrize("unread", [b"", b"VA 1 O1 h1\r\nx\r\n"])
+def test_a_connection_that_was_closed_or_written_to_behind_our_back_gets_no_hop(unread: bytes) -> None:
+    net = Net(hosts=1)
+    client = net.client()
+    client.feed(mg(1))
+    host = net.accept()
+    host.feed(va(1))
+    host.unread = unread
+    client.feed(ms(2))
+    assert host.lost and not host.pending and len(net.reactor.tcpClients) == 1
+
+
 def test_an_unreadable_list_changes_nothing() -> None:
     net = Net()
     watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
@@ -383,7 +413,7 @@
     assert not moved.ended and len(service.pool.places) == 1
     told_anew = {"revision": 2, "complete": True, "members": [member(2)]}
     agent.calls[1].callback(Response(200, orjson.dumps(told_anew)))
-    assert len(service.pool.places) == 2
+    assert list(service.pool.places) == [1] and list(service.door.hosts) == ["h2"]
     agent.calls[-1].errback(connectionDone)
     net.run(1500)
     path.write_bytes(orjson.dumps(TOLD))
