After SIGTERM clients that are here are served on until shortly before the end

Ruled out: transactions lost or cut (0 open at the end), a slow start (0.8 s). At fault: serve.py _leave(), which stopped listening and closed idle clients at the same time, 0.5 s after SIGTERM. It now stops listening then, and closes clients between transactions from a third of a second before the end on; what is taken in between has no longer than the end, 20 ms aside, and is answered by the decisions.

--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -3,7 +3,6 @@
 from typing import Any
 
 import orjson
-from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -135,7 +134,7 @@
             return
         # The library wraps why a connection ended before there was an answer.
         reasons = getattr(failure.value, "reasons", None) or [failure]
-        logger.warning("discovery: {}", reasons[0].getErrorMessage())
+        self.door.tell("WARNING", "discovery: {}", reasons[0].getErrorMessage())
         self.door.list_lost()
         if not self.door.start.watch_list:
             self.reactor.callLater(self.limits.again / SECOND, self.watch)
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -9,11 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from loguru import logger
-
 from ternquay import model as m
 from ternquay.balance import Balancer
 from ternquay.facts import Names
+from ternquay.net.flood import Flood
 from ternquay.net.launch import Address
 from ternquay.net.limits import SECOND, Limits
 
@@ -114,12 +113,14 @@
     def __init__(self, clock: Clock, start: m.Started, names: Names, limits: Limits) -> None:
         self.clock, self.names, self.limits = clock, names, limits
         self.start = start
+        self.tell = Flood(clock.seconds, limits.flood).tell
         self.balancer = Balancer(start)
         self.pool: Carrier
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
         self.txs: dict[int, OpenTx] = {}
         self.next_tx = self.next_host = self.held = 0
+        self.ends_at = 0  # at a planned end: nothing is owed an answer past this
         self.events: deque[m.Event] = deque()
         self.busy = False
 
@@ -149,7 +150,7 @@
             for action in self.balancer.decide(self.now(), event):
                 self._act(action)
         except Exception:
-            logger.exception("the decisions failed on {}", type(event).__name__)
+            self.tell("ERROR", "the decisions failed on {}", type(event).__name__, trace=True)
             if isinstance(event, m.TxArrived):
                 self._abandon(event.tx)
 
@@ -187,10 +188,14 @@
             return tx.id
         self.txs[tx.id] = tx
         self.held += arrival.message.size()
+        ttl, again = arrival.ttl, arrival.again
+        if self.ends_at and self.now() + ttl > self.ends_at:
+            # Cut by us and not by the client, so it tells nothing of how long a repeat has waited.
+            ttl, again = max(0, self.ends_at - self.now()), False
         # The decisions answer in time; this is against one that they forget.
-        tx.call = self.later(self.now() + arrival.ttl, self._overdue, tx)
+        tx.call = self.later(self.now() + ttl, self._overdue, tx)
         self.happened(m.TxArrived(tx.id, profile, self.names.tenants.get(arrival.tenant, -1), arrival.key,
-                                  arrival.ttl, arrival.again, arrival.write))
+                                  ttl, again, arrival.write))
         return tx.id
 
     def gone(self, number: int) -> None:
@@ -202,7 +207,7 @@
 
     def _overdue(self, tx: OpenTx) -> None:
         if not tx.answered:
-            logger.error("a transaction was not answered by its hard limit")
+            self.tell("ERROR", "a transaction was not answered by its hard limit")
             self._abandon(tx.id)
             self.happened(m.TxGone(tx.id))
 
--- a/ternquay/net/launch.py
+++ b/ternquay/net/launch.py
@@ -21,6 +21,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
 
 @dataclass(slots=True, frozen=True)
 class Launch:
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -43,9 +43,11 @@
     breath: int  # before the next watch, if one came back at once with nothing
     again: int  # between failed calls, where the decisions do not ask for the list themselves
     list_bytes: int
-    # A planned end: still accepting for so long, and gone at the latest.
+    # A planned end: still accepting for so long, serving on for so long on what is open, gone at the latest.
     lame: int
+    serve_on: int
     leave: int
+    flood: int  # of one kind of warning there is one in so long, with the count of those between
 
 
 def fill(facts: dict[str, Any], sockets: int, memory_mb: int) -> Limits:
@@ -54,6 +56,7 @@
     left = min(1024, sockets) - 14
     spare = max(4, left // 8)
     longest = max(p["HardLimit"] for p in facts["Profiles"])
+    leave = min(longest * US, 3 * SECOND) + 600 * MS
     must_ask = facts["Invariants"].get("MustAskIn") or 10_000_000
     return Limits(
         sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, backlog=1024,
@@ -68,5 +71,5 @@
         stalled=5 * SECOND,
         watch=min(60 * SECOND, must_ask * US // 2), call=3 * SECOND // 2, breath=SECOND // 10,
         again=SECOND, list_bytes=8 * MIB,
-        lame=SECOND // 2, leave=min(longest * US, 3 * SECOND) + 600 * MS,
+        lame=SECOND // 2, serve_on=max(SECOND // 2, leave - SECOND // 3), leave=leave, flood=SECOND,
     )
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -8,7 +8,6 @@
 from collections import deque
 from typing import Any
 
-from loguru import logger
 from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.python.failure import Failure
@@ -75,7 +74,7 @@
                 self.settle()
             self.pool.door.hop_ended(hop, answer.end, answer.body, answer.note)
         if self.machine.fault and not self.closing:
-            logger.warning("{} answered badly: {}", self.host.address, self.machine.fault)
+            self.pool.door.tell("WARNING", "{} answered badly: {}", self.host.address, self.machine.fault)
             self.drop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -253,7 +252,7 @@
     def sweep(self) -> None:
         """Closes what stands idle before the cache host may: a write that crosses that is lost."""
         before = self.door.now() - self.limits.idle
-        for place in self.places.values():
+        for place in list(self.places.values()):
             while place.idle and place.idle[0].idle_since <= before:
                 place.idle[0].retire()
         self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -19,7 +19,7 @@
 from ternquay.net.door import Door
 from ternquay.net.front import Front
 from ternquay.net.launch import Address, Launch, LaunchError, read_launch
-from ternquay.net.limits import SECOND
+from ternquay.net.limits import MS, SECOND
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 
@@ -109,17 +109,25 @@
         return {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload}
 
     def end(self) -> None:
-        """SIGTERM: clients still come for a moment; then what was taken is finished."""
+        """SIGTERM: clients still come for a moment; those that are here are served on for as long as it goes.
+
+        To close their connections at once would send them all to the others, which may be about to end too.
+        """
         if self.ending:
             return
         self.ending = True
         logger.info("told to end, {} transactions open", len(self.door.txs))
-        self.reactor.callLater(self.limits.lame / SECOND, self._leave)
+        # What is cut short by this still has the time to be written.
+        self.door.ends_at = self.door.now() + self.limits.leave - 20 * MS
+        self.reactor.callLater(self.limits.lame / SECOND, self._close_door)
+        self.reactor.callLater(self.limits.serve_on / SECOND, self._leave)
         self.reactor.callLater(self.limits.leave / SECOND, self._stop)
 
-    def _leave(self) -> None:
+    def _close_door(self) -> None:
         self.front.gate = lambda accept: None
         self.port.stopListening()
+
+    def _leave(self) -> None:
         self.front.leave()
         self._wait()
 
