A cache host's value may have 1 MiB, with a bound on half-read answers of all connections

Checked with the lines written out: they are whole answers for the right id with 147,279 to 386,183 bytes, of the same length from each cache host that was asked for the key; spoilt ones have ten digits. So cache hosts do hold values over the 64 KiB that clients may write, and each was fetched from up to five hosts and thrown away. At fault: pool.py gave HostSide the clients' limit; front.py cut a client off with 256 KiB queued. Now Limits.answer = 1 MiB, 2 MiB queued for one client, and as the sum of half-read answers had no bound, Limits.held holds for it too; held is a fifth of what the program itself leaves (a sixth of all, three times, would pass 64 MB). Test: fails without it.

--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -19,9 +19,11 @@
     clients: int
     spare: int  # for clients that come when all is full: they are told so and closed
     backlog: int
-    # Bytes: of one line, of one value, queued for one client; held: of all commands, half-read ones, answers.
+    # Bytes: of one line, of a value that a client writes or a cache host answers with, queued for one client;
+    # held: of all commands, of half-read ones, of half-read answers, of answers not taken yet.
     line: int
     value: int
+    answer: int
     queued: int
     held: int
     # Transactions: waiting on one client connection, open at a time, on one connection to a cache host.
@@ -60,8 +62,9 @@
     must_ask = facts["Invariants"].get("MustAskIn") or 10_000_000
     return Limits(
         sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, backlog=1024,
-        line=2048, value=65536, queued=4 * 65536,
-        held=max(4, min(256, memory_mb // 6)) * MIB,
+        line=2048, value=65536, answer=MIB, queued=2 * MIB,
+        # Four times, above what the program itself takes.
+        held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
         pipelined=256, open_txs=allowed.get("MostHeld") or 20000,
         per_connection=max(1, allowed.get("StreamsPerConn") or 1),
         fresh=SECOND,
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -28,7 +28,8 @@
 
     def __init__(self, pool: "Pool", host: "HostPlace") -> None:
         self.pool, self.host = pool, host
-        self.machine = HostSide(pool.limits.line, pool.limits.value)
+        self.machine = HostSide(pool.limits.line, pool.limits.answer)
+        self.kept = 0  # bytes of an answer that is not whole
         self.to_write: deque[Outgoing] = deque()
         self.writing: Outgoing | None = None
         self.hops: deque[Outgoing] = deque()  # given to the transport, in order; given-up ones stay in place
@@ -73,6 +74,11 @@
             if not self.machine.fault:
                 self.settle()
             self.pool.door.hop_ended(hop, answer.end, answer.body, answer.note)
+        if not self.closing:
+            self.pool.kept += len(self.machine.buffer) - self.kept
+            self.kept = len(self.machine.buffer)
+            if self.pool.kept > self.pool.limits.held:
+                self.machine.fault = "more than there is room for"
         if self.machine.fault and not self.closing:
             self.pool.door.tell("WARNING", "{} answered badly: {}", self.host.address, self.machine.fault)
             self.drop()
@@ -162,6 +168,7 @@
         # Where a transaction may not be out twice, a given-up hop may not stay behind on a shared connection.
         self.share = share
         self.places: dict[int, HostPlace] = {}
+        self.kept = 0  # bytes of half-read answers on all connections
         sockets.shed_host = self.shed
 
     # ---- for the door ----
@@ -231,6 +238,7 @@
         if connection in place.all:
             del place.all[connection]
             self.sockets.hosts -= 1
+            self.kept -= connection.kept
             if place.gone and not place.all:
                 self.places.pop(place.index, None)
         if connection in place.idle:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -207,7 +207,7 @@
 
 
 def test_a_client_that_reads_nothing_is_cut_off() -> None:
-    net = Net()
+    net = Net(limits={"queued": 4 * 65536})
     client = net.client()
     client.take = lambda: None  # type: ignore[method-assign]
     client.feed(mg(1))
@@ -289,6 +289,23 @@
     assert host.lost and not host.pending and len(net.reactor.tcpClients) == 1
 
 
+def test_a_value_larger_than_any_that_is_written_comes_back_whole_and_half_ones_have_a_bound() -> None:
+    net = Net(hosts=1, limits={"held": 700_000, "queued": 700_000})
+    client, other = net.client(), net.client()
+    client.feed(mg(1))
+    host = net.accept()
+    host.feed(va(1, b"x" * 400_000), cut=65536)
+    assert net.trace[-1].endswith("... 400016 bytes'") and "client 0 <" in net.trace[-1]
+    client.feed(mg(2))
+    other.feed(mg(3))
+    first, second = host, net.accept()
+    first.feed(va(2, b"x" * 500_000)[:400_000], cut=65536)
+    second.feed(va(3, b"x" * 500_000)[:400_000], cut=65536)
+    assert second.lost and not first.lost and net.pool.kept == 400_000
+    net.run(600)
+    assert first.lost and not net.pool.kept
+
+
 def test_an_unreadable_list_changes_nothing() -> None:
     net = Net()
     watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
