--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -34,7 +34,7 @@
 # A host that drains turns everything away long before the list says so.
 FAILURES = (m.End.ERROR, m.End.TIMED_OUT, m.End.RESET, m.End.UNREACHABLE, m.End.FULL)
 EXTRA_RATE, EXTRA_MOST = 0.15, 10.0
-PATIENCE, LOST = 0.6, 2.0
+PATIENCE, LOST, QUICK = 0.6, 2.0, 0.25
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
@@ -195,10 +195,7 @@
                 self.actions.append(m.WatchList())
             elif what == -3:
                 self._drain_origin()
-            else:
-                tx = self.txs.get(what)
-                if tx is None or tx.ended:
-                    continue
+            elif (tx := self.txs.get(what)) is not None and not tx.ended:
                 # With nothing out it would wait most of its time and be turned away then.
                 if self.now >= tx.give_up or not tx.out:
                     self._finish(tx)
@@ -509,13 +506,17 @@
         elif end is m.End.MISS and not hop.host.is_origin:
             tx.missed = tx.missed or hop.host
             self._ask_origin(tx)
-        elif hop.host.is_origin or (self.extra < 1 and end is not m.End.FULL):
+        elif hop.host.is_origin or self.extra < self._cost(hop, end):
             self._finish(tx)
         else:
-            # Being turned away cost no work and hardly any time; only other further hops are counted.
-            self.extra -= end is not m.End.FULL
+            self.extra -= self._cost(hop, end)
             self._route(tx)
 
+    def _cost(self, hop: Hop, end: m.End) -> int:
+        # Turned away, or broken off at once: that cost no work and hardly any time; other further hops count.
+        quick = self.now - hop.sent < QUICK * self.usual and end in (m.End.UNREACHABLE, m.End.RESET)
+        return 0 if quick or end is m.End.FULL else 1
+
     # ---- the origin ----
 
     def _ask_origin(self, tx: Tx) -> None:
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -84,6 +84,8 @@
             self.drop()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        if self.hops and self.idle_since and not self.closing:
+            self.pool.broke_at = self.pool.door.now()
         self.closing = True
         self.pool.lost(self)
         self.fail()
@@ -169,6 +171,7 @@
         self.share = share
         self.places: dict[int, HostPlace] = {}
         self.kept = 0  # bytes of half-read answers on all connections
+        self.broke_at = -limits.wary  # when a connection that was used before last broke under a hop
         sockets.shed_host = self.shed
 
     # ---- for the door ----
@@ -189,7 +192,7 @@
 
     def send(self, hop: Outgoing) -> None:
         place = self.places.get(hop.host)
-        connection = self._connection(place) if place is not None else None
+        connection = self._connection(place, hop.once) if place is not None else None
         if connection is None:
             # Not the cache host's fault, and never sent.
             self.door.hop_ended(hop, m.End.SKIPPED)
@@ -202,10 +205,12 @@
 
     # ---- connections ----
 
-    def _connection(self, place: HostPlace) -> HostConnection | None:
+    def _connection(self, place: HostPlace, once: bool) -> HostConnection | None:
         now = self.door.now()
-        while place.idle:
-            connection = place.idle.pop()
+        # Where kept connections broke of late, what may run once is not risked on one.
+        wary = once and now - self.broke_at < self.limits.wary and self.sockets.may_open()
+        while place.idle and not wary:
+            connection = place.idle.pop(self._settled(place, now))
             # What the cache host closed, or added to its answer, may lie here unread: the hop would be lost.
             if now - connection.idle_since < self.limits.idle and connection.untouched():
                 return connection
@@ -217,6 +222,11 @@
         least = min(place.all, key=HostConnection.load, default=None)
         return least if least is not None and least.load() < self.limits.per_connection else None
 
+    def _settled(self, place: HostPlace, now: int) -> int:
+        """The one used last, but not just now: a cache host that closes after an answer does it by then."""
+        settled = range(len(place.idle) - 1, -1, -1)
+        return next((i for i in settled if now - place.idle[i].idle_since >= self.limits.settle), -1)
+
     def _dial(self, place: HostPlace) -> HostConnection:
         assert place.address is not None  # the list names hosts with their addresses
         connection = HostConnection(self, place)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,7 +1,7 @@
 """The ordinary path, and one trace for each failure found."""
 
 from ternquay import model as m
-from ternquay.balance import ORIGIN_START, RANGES, text_hash
+from ternquay.balance import MS, ORIGIN_START, RANGES, text_hash
 
 from .helper import Play, line
 
@@ -379,3 +379,16 @@
     p.end(fetch, m.End.TIMED_OUT, took=600)
     assert p.balancer.usual == took and p.balancer.origin_limit >= limit
     assert not any(h.out_until for h in p.balancer.ready)
+
+
+def test_a_connection_that_breaks_at_once_costs_nothing_of_the_budget_for_further_hops() -> None:
+    """Against cache hosts that reset one kept connection in six, on a day with room for every further hop."""
+    p = Play(5)
+    settle(p)
+    p.balancer.extra, p.balancer.usual = 0.0, 100.0 * MS
+    for end, after in ((m.End.RESET, 3), (m.End.UNREACHABLE, 3), (m.End.RESET, 60), (m.End.ERROR, 3)):
+        tx = p.arrive("k1")
+        p.run(after)
+        p.end(tx, end, took=after)
+        p.balancer.extra = 0.0
+    p.matches("broken_at_once")
