The calm time is not taken from the first few answers after a start

Ruled out: cold hosts, the origin (limit 12, 2 to 5 out), the list. At fault: balance.py _estimate() took the first answer for the usual time and _tick() its lowest value since for the calm time, which rises by one in a hundred a second. The first answers now have equal parts in the mean, and the calm time begins after CALM_AFTER = 20 of them. Test: fails without it.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -38,7 +38,7 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
-CALM_JAM, CALM_MOST, CALM_LEAST, CALM_GROW = 3.0, 4.0, 0.25, 0.003
+CALM_JAM, CALM_MOST, CALM_LEAST, CALM_GROW, CALM_AFTER = 3.0, 4.0, 0.25, 0.003, 20
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -76,7 +76,7 @@
         # Transactions, and when to look at them again.
         self.txs: dict[int, Tx] = {}
         self.heap: list[tuple[int, int, int]] = []
-        self.now = self.heap_seq = self.timer_at = self.tick_at = 0
+        self.now = self.heap_seq = self.timer_at = self.tick_at = self.estimates = 0
         # The table of ranges over its window.
         self.ranges: dict[int, Range] = {}
         self.singles: dict[int, Range] = {}
@@ -213,7 +213,8 @@
             self.unit_rate += (rate - self.unit_rate) * (step if self.unit_rate else 1.0)
         self.rate += (self.arrived * SECOND / passed - self.rate) * (step if self.rate else 1.0)
         self.warm_sent = self.arrived = 0
-        if self.usual:
+        # Not from the first few answers: one quick one would make all that follow a jam.
+        if self.estimates >= CALM_AFTER:
             self.calm = min(self.usual, self.calm + CALM_GROW * self.usual * passed / TICK)
         # Often enough for some ten transactions: more often costs CPU.
         self._wake(self.now + max(TICK, min(TICK_MOST, int(10 * SECOND / max(1.0, self.rate)))), -1)
@@ -281,8 +282,7 @@
         return BETA * affinity - (1 - BETA) * GAMMA * float(load ** (GAMMA - 1))
 
     def _lightest(self, load: int, draw: int) -> int:
-        # A random one of the ties; the draw is the range's and not ours, or every balancer spills to a place
-        # of its own and the origin is asked for each. A search: listing all ties cost half of our CPU.
+        # A random one of the ties; the draw is the range's, or each balancer spills to a place of its own.
         try:
             return self.loads.index(load, mix(draw) % GROUPS)
         except ValueError:
@@ -619,8 +619,8 @@
         # Against a jam seen in ten answers by chance: where hops are many, as many more make up a mean.
         pace = min(1.0, max(PACE_LEAST, 3 * self._spacing() / SECOND)) if self.rate else 1.0
         step = 0.2 * pace if self.now - host.seen < FADE else 0.5
-        self.usual += (took - self.usual) * (0.1 * pace if self.usual else 1.0)
-        self.usual_at = self.now
+        self.usual_at, self.estimates = self.now, self.estimates + 1
+        self.usual += (took - self.usual) * max(0.1 * pace, 1 / self.estimates)
         host.took, host.seen = host.took + (took - host.took) * step, self.now
         host.crowd += (hop.crowd - host.crowd) * step
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -361,6 +361,19 @@
     assert many.balancer.usual < 3 * many.balancer.calm
 
 
+def test_the_first_answers_after_a_start_are_not_the_calm_time() -> None:
+    """Against a jam for the rest of the day, as the first key asked for after a restart came back at once."""
+    p = Play(4)
+    p.balancer.hit_part = 1.0  # all reads are hits
+    for n in range(3):
+        p.end(p.arrive(f"k{n}"), m.End.DONE, took=2)
+        p.run(300)
+    for n in range(400):
+        p.end(p.arrive(f"k{n % 40}"), m.End.DONE, took=20 if n % 4 else 40)
+        p.run(5)
+    assert p.balancer.usual < 2 * p.balancer.calm < 100 * MS
+
+
 def test_an_answer_that_later_ones_overtook_is_lost_and_asked_for_again_where_the_key_lies() -> None:
     """Against cache hosts that lose one answer in four: the others of theirs come back as fast as ever."""
     p = Play(4)
