Idle client connections are bounded, and the one idle longest is closed first

Seen in the incident: 43 to 80 in 100 tries refused from the first second; a log of each roll-back has 1,300 of some 20,000, so most never reached a balancer. Client connections, counted four times a second, stand at 127 or 128 idle ones that had an answer: the third of 384 descriptors that clients may hold, taken within half a second by those that ask once and stay. At fault: front.py closed idle clients only when the limit on sockets (216) was near. Limits.resting, a sixth of the descriptors, now bounds those that had an answer and stand idle; the one idle longest is closed. Test: fails without it.

--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -159,6 +159,7 @@
         self.all: set[ClientConnection] = set()
         self.queued = self.kept = 0  # bytes of all clients
         self.resting: dict[ClientConnection, None] = {}  # idle ones, the longest first
+        self.asked: dict[ClientConnection, None] = {}  # those of them that had an answer
         self.leaving = self.held_up = False
         self.gate: Callable[[bool], None] = lambda accept: None
         sockets.shed_client = self.shed
@@ -180,7 +181,7 @@
         if client not in self.all:
             return
         self.all.discard(client)
-        self.resting.pop(client, None)
+        self.busy(client)
         self.sockets.clients -= 1
         self.queued -= client.queued
         self.kept -= client.kept
@@ -190,10 +191,16 @@
 
     def busy(self, client: ClientConnection) -> None:
         self.resting.pop(client, None)
+        self.asked.pop(client, None)
 
     def idle(self, client: ClientConnection) -> None:
         if not client.owed and not client.queued and not client.ended and client.machine.quiet():
             self.resting[client] = None
+            if client.answered:
+                self.asked[client] = None
+                if len(self.asked) > self.limits.resting:
+                    # Against clients that ask once and keep the connection: the others would get none.
+                    self._close_resting(next(iter(self.asked)))
             if self.leaving or (client.answered and (client.crowded or self.held_up)):
                 self._close_resting(client)
 
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -33,6 +33,7 @@
     come_again: int  # what is turned away for want of room is told to wait so long
     # A new client that has sent nothing is not closed for another before so long.
     fresh: int
+    resting: int  # connections that had an answer and stand idle; the one idle longest is closed beyond that
     # Connections to cache hosts.
     dial: int
     idle: int  # ours are closed well before the cache host does it
@@ -68,7 +69,7 @@
         held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
         pipelined=256, open_txs=allowed.get("MostHeld") or 20000,
         per_connection=max(1, allowed.get("StreamsPerConn") or 1),
-        fresh=SECOND,
+        fresh=SECOND, resting=min(1024, sockets) // 6,
         come_again=(allowed.get("MaxRetryAfter") or 0) * US // 4 if allowed.get("RetryAfter") else 0,
         dial=(allowed.get("DialTimeout") or 250_000) * US,
         idle=(allowed.get("ConnIdle") or 5_000_000) * US * 3 // 5, sweep=SECOND // 4,
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -329,6 +329,21 @@
     assert not net.reactor.tcpClients  # so short a rest does no harm
 
 
+def test_clients_that_ask_once_and_stay_do_not_take_the_place_of_others() -> None:
+    net = Net(limits={"resting": 2})
+    clients = [net.client() for _ in range(4)]
+    host = None
+    for number, client in enumerate(clients):
+        client.feed(mg(number))
+        host = host or net.accept()
+        host.feed(va(number))
+        clients[0].feed(mg(10 + number))
+        host.feed(va(10 + number))
+        net.run(100)
+    assert [client.lost for client in clients] == [False, True, True, False]
+    assert len(net.front.asked) == len(net.front.resting) == 2
+
+
 def test_an_unreadable_list_changes_nothing() -> None:
     net = Net()
     watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
