Only the flags and bytes of the grammar go on to a cache host

Read beside the protocol: meta.py read_command() passed on control bytes in keys and names, flags that do not exist, reads without v. Now mg has v, O and P, ms has O and P, all of bytes 33 to 126; else the client gets CLIENT_ERROR bad flags and what follows is read on.

--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -6,12 +6,14 @@
 A buffer grows as bytes come and is compacted in place once a feed has read what is whole.
 """
 
+import re
 from collections import deque
 from dataclasses import dataclass, field, replace
 
 from ternquay import model as m
 
 KEY_MOST = 250
+PLAIN = re.compile(rb"[!-~]+")
 TTL_MOST = 10**9
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
 
@@ -110,6 +112,10 @@
     if len(words) < 2 or not 0 < len(words[1]) <= KEY_MOST:
         return Bad(b"CLIENT_ERROR bad key")
     flags = tuple(words[3:] if words[0] == b"ms" else words[2:])
+    # What a cache host can't read costs the connection that it goes out on, and counts against that host.
+    strange = any(f != b"v" and f[:1] not in (b"O", b"P") for f in flags)
+    if strange or flags.count(b"v") != (words[0] == b"mg") or not PLAIN.fullmatch(b"".join(words)):
+        return Bad(b"CLIENT_ERROR bad flags")
     ids = [f[1:] for f in flags if f[:1] == b"O"]
     places = [i for i, f in enumerate(flags) if f[:1] == b"P"]
     if len(ids) != 1 or not ids[0]:
--- a/tests/test_meta.py
+++ b/tests/test_meta.py
@@ -67,6 +67,8 @@
     b"mg k v O1 Pc=read,d=4,d=5\r\n", b"mg k v O1 Pc=r\xff,d=4\r\n", b"ms k 5 O1\r\nhello\r\n",
     b"ms k five O1 Pc=once,d=4\r\n", b"ms k 71 O1 Pc=once,d=4\r\n", b"ms k -1 O1 Pc=once,d=4\r\n",
     b"ms k 5 O1 Pc=once,d=4\r\nhello!!\r\n", b"m" * 450,
+    b"mg k\x01 v O1 Pc=read,d=4\r\n", b"mg k v q O1 Pc=read,d=4\r\n", b"mg k O1 Pc=read,d=4\r\n",
+    b"mg k v O1 Pc=read,d=4,k=\x7f\r\n", b"ms k 5 v O1 Pc=once,d=4\r\nhello\r\n",
 ]
 
 
