--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -376,8 +376,7 @@
         # are kept to a few times what hops take when all is calm, if that is over a part of the goal.
         if self.usual > CALM_JAM * self.calm and self.now - self.usual_at < FADE:
             most = min(most, max(CALM_LEAST * left, CALM_MOST * self.calm))
-        most *= OVER_PART if tx.over else 1.0
-        return self._expected(host) <= most
+        return self._expected(host) <= most * (OVER_PART if tx.over else 1.0)
 
     def _expected(self, host: CacheHost) -> float:
         return self._predicted(host) * (1 + host.inflight) / (1 + host.crowd)
@@ -472,9 +471,8 @@
         # or if its answer is lost: then the copy goes where the key now lies.
         last = tx.hops[-1]
         out, lost = last.host.out_until > self.now, self._overtaken(last)
-        if not self.start.parallel or tx.out > 1 or self.extra < 1 or not (out or lost):
-            return
-        if last.fetches and not self._origin_room():
+        full = last.fetches and not self._origin_room()
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or full or not (out or lost):
             return
         host = last.host if lost and self._usable(last.host) else self._choose(tx)
         if host is not None and self._send(tx, host):
@@ -508,10 +506,10 @@
         elif end is m.End.MISS and not hop.host.is_origin:
             tx.missed = tx.missed or hop.host
             self._ask_origin(tx)
-        elif hop.host.is_origin or self.extra < self._cost(hop, end):
+        elif hop.host.is_origin or self.extra < (cost := self._cost(hop, end)):
             self._finish(tx)
         else:
-            self.extra -= self._cost(hop, end)
+            self.extra -= cost
             self._route(tx)
 
     def _cost(self, hop: Hop, end: m.End) -> int:
@@ -589,9 +587,9 @@
         host = hop.host
         through = not self.start.aside
         # An answer lost on its way to us tells of its cache host, not of the origin behind it.
-        lost = through and (e.end is m.End.RESET or (e.end is m.End.TIMED_OUT and self._overtaken(hop)))
-        fetched = hop.fetches and not lost and e.end is not m.End.UNREACHABLE
-        if fetched or (through and (e.note > 1 or e.end is m.End.ERROR)):
+        overtaken = e.end is m.End.TIMED_OUT and self._overtaken(hop)
+        lost = e.end is m.End.UNREACHABLE or (through and (e.end is m.End.RESET or overtaken))
+        if (hop.fetches and not lost) or (through and (e.note > 1 or e.end is m.End.ERROR)):
             self._judge_origin(hop, e)
         if through:
             if e.note and self._unknown(tx, host):
@@ -599,7 +597,7 @@
             self._remember(tx, host, e.end)
         if host.is_origin:
             return
-        late = e.end is m.End.TIMED_OUT and not self._overtaken(hop)
+        late = e.end is m.End.TIMED_OUT and not overtaken
         if (late or e.end is m.End.DONE) and not hop.fetches and (e.note < 2 or not through):
             self._estimate(hop, e.took)
         if e.end not in (m.End.SKIPPED, m.End.CANCELLED):
@@ -672,8 +670,11 @@
             return self.now >= host.cold_from + int(host.cold_wait * span / room)
         return len(sent) < room
 
+    def _first_run(self, tx: Tx) -> Hop | None:
+        return next((hop for hop in tx.hops if hop.may_have_run), None)
+
     def _may_repeat(self, tx: Tx, host: CacheHost) -> bool:
-        first = next((hop for hop in tx.hops if hop.may_have_run), None)
+        first = self._first_run(tx)
         if first is None or tx.profile.kind is m.Kind.IDEMPOTENT:
             return True
         memory, scope = tx.profile.memory - self.margin, tx.profile.scope
@@ -716,7 +717,7 @@
         """Every answer that is not a commit passes here: rule 1 (one, in time) and the promise in rule 2."""
         if tx.ended:
             return
-        profile, first = tx.profile, next((hop for hop in tx.hops if hop.may_have_run), None)
+        profile, first = tx.profile, self._first_run(tx)
         wait = min(int(BACKOFF * profile.service_goal), self.start.max_backoff)
         # A repeat of a journalled tx is harmless while it is known, so for no longer is it called so.
         known = profile.kind is m.Kind.JOURNALLED and profile.scope is m.Scope.ALL
--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -37,7 +37,7 @@
     """Read a configuration and say what it holds, without listening."""
     with told_in_a_line():
         launch = read_launch(config)
-    typer.echo(f"{launch.name}: listens on {launch.listen.host}:{launch.listen.port}, "
+    typer.echo(f"{launch.name}: listens on {launch.listen}, "
                f"{len(launch.known['members'])} cache hosts, {len(launch.start.profiles)} profiles, "
                f"{launch.limits.sockets} sockets")
 
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -1,7 +1,7 @@
 """What the drivers of both sides share: a LineReceiver in raw mode, which keeps no bytes itself."""
 
 from contextlib import suppress
-from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR
+from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, socket
 from typing import Any
 
 from twisted.protocols.basic import LineReceiver
@@ -14,29 +14,29 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
 
-    def untouched(self) -> bool:
-        """Whether nothing has come that was not read yet, neither bytes nor the other side's end."""
+    def _unread(self) -> bytes | None:
+        """The first byte that has come and was not read, b"" for the other side's end, None for nothing."""
         try:
-            self.transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT)
+            handle: socket = self.transport.getHandle()
+            return handle.recv(1, MSG_PEEK | MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def untouched(self) -> bool:
+        """Whether nothing has come that was not read yet, neither bytes nor the other side's end."""
+        return self._unread() is None
 
     def shut(self) -> bool:
         """Ends an idle connection at once, unless bytes have come that were not read: they would be lost.
 
         In one step, as the transport closes only a turn later, and a command may come in between.
         """
-        handle = self.transport.getHandle()
-        try:
-            if handle.recv(1, MSG_PEEK | MSG_DONTWAIT):
-                return False
-        except OSError:
-            pass
+        if self._unread():
+            return False
         with suppress(OSError):
-            handle.shutdown(SHUT_RDWR)
+            self.transport.getHandle().shutdown(SHUT_RDWR)
         self.finish()
         return True
 
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -37,7 +37,8 @@
     # Connections to cache hosts.
     dial: int
     idle: int  # ours are closed well before the cache host does it
-    wear: int  # what was seen of idle ones counts half after so long
+    wear: int  # what was seen of idle ones counts half after so long, and for nothing under so many
+    wear_least: int
     sweep: int
     # A client with a command or an answer half way on which nothing moves for so long is closed.
     stalled: int
@@ -47,9 +48,11 @@
     breath: int  # before the next watch, if one came back at once with nothing
     again: int  # between failed calls, where the decisions do not ask for the list themselves
     list_bytes: int
-    # A planned end: still accepting for so long, serving on for so long on what is open, gone at the latest.
+    # A planned end: accepting for so long, serving on for so long on what is open, the last answer, with time
+    # left for it to be written, and gone at the latest.
     lame: int
     serve_on: int
+    last: int
     leave: int
     flood: int  # of one kind of warning there is one in so long, with the count of those between
 
@@ -57,10 +60,11 @@
 def fill(facts: dict[str, Any], sockets: int, memory_mb: int) -> Limits:
     allowed = facts["Limits"]
     # Standard streams, poll, wake-up, the listener, discovery and a spare of the library's come first.
-    left = min(1024, sockets) - 14
+    whole = min(1024, sockets)
+    left = whole - 14
     spare = max(4, left // 8)
     longest = max(p["HardLimit"] for p in facts["Profiles"])
-    leave = min(longest * US, 3 * SECOND) + 600 * MS
+    lame, leave = SECOND // 2, min(longest * US, 3 * SECOND) + 600 * MS
     must_ask = facts["Invariants"].get("MustAskIn") or 10_000_000
     return Limits(
         sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, backlog=1024,
@@ -69,13 +73,13 @@
         held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
         pipelined=256, open_txs=allowed.get("MostHeld") or 20000,
         per_connection=max(1, allowed.get("StreamsPerConn") or 1),
-        fresh=SECOND, resting=min(1024, sockets) // 6,
+        fresh=SECOND, resting=whole // 6,
         come_again=(allowed.get("MaxRetryAfter") or 0) * US // 4 if allowed.get("RetryAfter") else 0,
         dial=(allowed.get("DialTimeout") or 250_000) * US,
         idle=(allowed.get("ConnIdle") or 5_000_000) * US * 3 // 5, sweep=SECOND // 4,
-        wear=5 * SECOND,
+        wear=5 * SECOND, wear_least=8,
         stalled=5 * SECOND,
         watch=min(60 * SECOND, must_ask * US // 2), call=3 * SECOND // 2, breath=SECOND // 10,
         again=SECOND, list_bytes=8 * MIB,
-        lame=SECOND // 2, serve_on=max(SECOND // 2, leave - SECOND // 3), leave=leave, flood=SECOND,
+        lame=lame, serve_on=max(lame, leave - SECOND // 3), last=leave - 20 * MS, leave=leave, flood=SECOND,
     )
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -160,9 +160,8 @@
 class HostPlace:
     """The connections to one cache host."""
 
-    def __init__(self, index: int) -> None:
-        self.index = index
-        self.address: Address | None = None
+    def __init__(self, index: int, address: Address) -> None:
+        self.index, self.address = index, address
         self.ready = self.gone = False
         self.all: dict[HostConnection, None] = {}
         self.idle: list[HostConnection] = []  # the one used last at the end
@@ -175,25 +174,28 @@
     was seen counts half after each `half`, so that they are tried again.
     """
 
-    LEAST, SHARE, SPANS = 8.0, 0.2, 24
+    SHARE = 0.2
 
-    def __init__(self, half: int) -> None:
-        self.half, self.at = half, 0
-        self.used, self.broke = [0.0] * self.SPANS, [0.0] * self.SPANS  # each span twice as long as the last
+    def __init__(self, limits: Limits) -> None:
+        self.half, self.least, self.at = limits.wear, limits.wear_least, 0
+        # Each span is twice as long as the last; none rests for longer than the limit.
+        spans = self._span(limits.idle) + 1
+        self.used, self.broke = [0.0] * spans, [0.0] * spans
 
     def _span(self, rested: int) -> int:
-        return min(self.SPANS - 1, (rested // MS).bit_length())
+        return (rested // MS).bit_length()
 
     def told(self, rested: int, broke: bool) -> None:
-        self.used[self._span(rested)] += 1
-        self.broke[self._span(rested)] += broke
+        span = self._span(rested)
+        self.used[span] += 1
+        self.broke[span] += broke
 
     def holds(self, rested: int, now: int) -> bool:
         if now - self.at > self.half:
             self.at = now
             self.used, self.broke = [x / 2 for x in self.used], [x / 2 for x in self.broke]
         span = self._span(rested)
-        return self.used[span] < self.LEAST or self.broke[span] <= self.SHARE * self.used[span]
+        return self.used[span] < self.least or self.broke[span] <= self.SHARE * self.used[span]
 
 
 class Pool:
@@ -203,13 +205,13 @@
         self.share = share
         self.places: dict[int, HostPlace] = {}
         self.kept = 0  # bytes of half-read answers on all connections
-        self.wear = Wear(limits.wear)
+        self.wear = Wear(limits)
         sockets.shed_host = self.shed
 
     # ---- for the door ----
 
     def listed(self, index: int, address: Address, ready: bool) -> None:
-        place = self.places.setdefault(index, HostPlace(index))
+        place = self.places.setdefault(index, HostPlace(index, address))
         if address != place.address or not ready:
             self._close_idle(place)
         place.address, place.ready = address, ready
@@ -219,8 +221,11 @@
         place = self.places[index]
         place.ready, place.gone = False, True
         self._close_idle(place)
-        if not place.all:
-            self.places.pop(index, None)
+        self._forget(place)
+
+    def _forget(self, place: HostPlace) -> None:
+        if place.gone and not place.all:
+            self.places.pop(place.index, None)
 
     def send(self, hop: Outgoing) -> None:
         place = self.places.get(hop.host)
@@ -255,7 +260,6 @@
         return least if least is not None and least.load() < self.limits.per_connection else None
 
     def _dial(self, place: HostPlace) -> HostConnection:
-        assert place.address is not None  # the list names hosts with their addresses
         connection = HostConnection(self, place)
         place.all[connection] = None
         self.sockets.hosts += 1
@@ -276,8 +280,7 @@
             del place.all[connection]
             self.sockets.hosts -= 1
             self.kept -= connection.kept
-            if place.gone and not place.all:
-                self.places.pop(place.index, None)
+            self._forget(place)
         if connection in place.idle:
             place.idle.remove(connection)
 
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -19,7 +19,7 @@
 from ternquay.net.door import Door
 from ternquay.net.front import Front
 from ternquay.net.launch import Address, Launch, LaunchError, read_launch
-from ternquay.net.limits import MS, SECOND
+from ternquay.net.limits import SECOND
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 
@@ -79,11 +79,11 @@
         try:
             self.port = self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host)
         except CannotListenError as fault:
-            raise LaunchError(f"listen: {where.host}:{where.port}: {fault.socketError}") from fault
+            raise LaunchError(f"listen: {where}: {fault.socketError}") from fault
         self.front.gate = lambda accept: self.port.startReading() if accept else self.port.stopReading()
         self.pool.sweep()
         self.front.sweep()
-        logger.info("{} serves on {}:{}", self.launch.name, where.host, where.port)
+        logger.info("{} serves on {}", self.launch.name, where)
 
     def reload(self) -> None:
         """SIGHUP: the file is read again; where it can't be used, all stays as it is."""
@@ -98,7 +98,7 @@
         for field in ("name", "listen", "limits", "start"):
             if getattr(new, field) != getattr(old, field):
                 logger.warning("the configuration has another {}, which waits for the next start", field)
-        logger.info("read the configuration again, discovery: {}:{}", new.discovery.host, new.discovery.port)
+        logger.info("read the configuration again, discovery: {}", new.discovery)
         if new.discovery != old.discovery and not self.ending:
             self.launch = replace(old, discovery=new.discovery)
             self.discovery.end()
@@ -117,8 +117,7 @@
             return
         self.ending = True
         logger.info("told to end, {} transactions open", len(self.door.txs))
-        # What is cut short by this still has the time to be written.
-        self.door.ends_at = self.door.now() + self.limits.leave - 20 * MS
+        self.door.ends_at = self.door.now() + self.limits.last
         self.reactor.callLater(self.limits.lame / SECOND, self._close_door)
         self.reactor.callLater(self.limits.serve_on / SECOND, self._leave)
         self.reactor.callLater(self.limits.leave / SECOND, self._stop)
