--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -42,6 +42,18 @@
                f"{launch.limits.sockets} sockets")
 
 
+@app.command("rig", add_help_option=False,
+             context_settings={"allow_extra_args": True, "ignore_unknown_options": True})
+def rig(context: typer.Context) -> None:
+    """The project's own fleet on loopback: days, faults, a judge of the rules, experiments."""
+    try:
+        from ternquay.rig.commands import app as commands  # `serve` must not load any of it
+    except ImportError as fault:
+        typer.echo(f"ternquay rig: {fault.name} is not installed; the rig wants requirements-dev.txt", err=True)
+        raise typer.Exit(2) from fault
+    commands(args=context.args, prog_name="ternquay rig")
+
+
 @app.command("version")
 def tell_version() -> None:
     """Print the version."""
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -110,11 +110,12 @@
 
 
 class Door:
-    def __init__(self, clock: Clock, start: m.Started, names: Names, limits: Limits) -> None:
+    def __init__(self, clock: Clock, start: m.Started, names: Names, limits: Limits,
+                 decisions: type[Balancer] = Balancer) -> None:
         self.clock, self.names, self.limits = clock, names, limits
         self.start = start
         self.tell = Flood(clock.seconds, limits.flood).tell
-        self.balancer = Balancer(start)
+        self.balancer = decisions(start)
         self.pool: Carrier
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -15,6 +15,7 @@
 from twisted.logger import ILogObserver, globalLogPublisher
 from zope.interface import implementer
 
+from ternquay.balance import Balancer
 from ternquay.net.discovery import CallFailed, Discovery
 from ternquay.net.door import Door
 from ternquay.net.front import Front
@@ -52,11 +53,11 @@
 class Service:
     """The assembled balancer."""
 
-    def __init__(self, reactor: Any, launch: Launch) -> None:
+    def __init__(self, reactor: Any, launch: Launch, decisions: type[Balancer] = Balancer) -> None:
         self.reactor, self.launch, self.limits = reactor, launch, launch.limits
         self.offset = time.time_ns() - int(reactor.seconds() * SECOND)
         sockets = Sockets(self.limits)
-        self.door = Door(reactor, launch.start, launch.names, self.limits)
+        self.door = Door(reactor, launch.start, launch.names, self.limits, decisions)
         self.pool = self.door.pool = Pool(reactor, self.door, self.limits, sockets, launch.start.parallel)
         self.front = Front(reactor, self.door, self.limits, sockets)
         self.discovery = self._discovery(launch.discovery)
@@ -143,15 +144,15 @@
             self.reactor.stop()
 
 
-def run(launch: Launch) -> None:
-    """Serves until it is told to end."""
+def run(launch: Launch, decisions: type[Balancer] = Balancer) -> None:
+    """Serves until it is told to end; other decisions than the product's are for comparisons."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
     globalLogPublisher.addObserver(pass_on)
     reactor = MonotonicReactor()
     installReactor(reactor)
-    service = Service(reactor, launch)
+    service = Service(reactor, launch, decisions)
     service.begin()
 
     def heed(number: signal.Signals, what: Callable[[], None]) -> None:
--- /dev/null
+++ b/ternquay/rig/byhand.py
@@ -0,0 +1,37 @@
+"""The stand-ins alone, for trying a balancer by hand, with the faults of one day."""
+
+import json
+import time
+from pathlib import Path
+
+import typer
+from twisted.internet.main import installReactor
+
+from ternquay.rig.child import MonotonicReactor
+from ternquay.rig.play import settings_of
+from ternquay.rig.standins.discovery import DiscoveryDriver
+from ternquay.rig.standins.hosts import FleetDriver
+from ternquay.rig.terms import MS, Day, planned
+
+
+def run(day: Day, seed: int, config: Path, listen: str) -> None:
+    reactor = MonotonicReactor()
+    installReactor(reactor)
+    hosts = FleetDriver(reactor, day, planned(day, seed), seed, time.monotonic_ns)
+    discovery = DiscoveryDriver(reactor, lambda: hosts.law.listing, time.monotonic_ns, 1, time.time_ns() // MS)
+    hosts.on_list = discovery.changed
+    listing = hosts.law.listing
+    known = json.loads(discovery.shown(listing.revision(0), True, listing.whole(0)))
+    config.write_text(json.dumps({
+        "name": "by-hand", "listen": listen, "discovery": discovery.places[0][0], "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": day.balancers.memory_mb, "sockets": day.balancers.sockets},
+        "known": known, "settings": settings_of(day, 0),
+    }, indent=1) + "\n")
+    begin = time.monotonic_ns()
+    hosts.start(begin)
+    discovery.start(begin)
+    for place, host in zip(hosts.places, hosts.law.hosts, strict=True):
+        typer.echo(f"{host.name:20} {place}")
+    typer.echo(f"discovery            {discovery.places[0][0]}")
+    typer.echo(f"start a balancer with: ternquay serve --config {config}")
+    reactor.run()
--- /dev/null
+++ b/ternquay/rig/commands.py
@@ -0,0 +1,154 @@
+"""`ternquay rig ...`: days, plays, comparisons. The balancer's own command line loads this when it is asked for."""
+
+import json
+import shutil
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from ternquay.rig.compare import compare, table
+from ternquay.rig.contender import by_decisions, contender
+from ternquay.rig.judge import judge
+from ternquay.rig.measure import measure
+from ternquay.rig.play import PlayError, play, share_cores
+from ternquay.rig.saturate import saturate
+from ternquay.rig.terms import Day, DayError, day_names, read_day
+
+BROKEN, UNPLAYED, LATE = 1, 2, 3
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+                  help="The project's own fleet on loopback: days, faults, a judge, experiments.")
+Out = Annotated[Path, typer.Option("--out", help="Where results go.")]
+Seed = Annotated[int, typer.Option("--seed", min=0)]
+Seconds = Annotated[float | None, typer.Option("--seconds", min=1.0, max=3600.0, help="Instead of the day's.")]
+Balancers = Annotated[int | None, typer.Option("--balancers", min=1, max=16)]
+Hosts = Annotated[int | None, typer.Option("--hosts", min=1, max=200)]
+Rate = Annotated[float | None, typer.Option("--rate", min=1.0, max=50_000.0, help="Transactions a second.")]
+Loads = Annotated[int, typer.Option("--loads", min=1, max=8, help="Load processes.")]
+DayName = Annotated[str, typer.Argument(help="A day's name, or a TOML file.")]
+
+
+@contextmanager
+def told_in_a_line() -> Iterator[None]:
+    try:
+        yield
+    except (DayError, PlayError, OSError) as fault:
+        typer.echo(f"ternquay rig: {' '.join(str(fault).split())}", err=True)
+        raise typer.Exit(UNPLAYED) from fault
+
+
+def show(text: str) -> None:
+    """Progress, on a terminal only."""
+    if sys.stderr.isatty():
+        print(f"\r\033[K{text}", end="", file=sys.stderr, flush=True)
+
+
+def day_with(name: str, seconds: float | None, balancers: int | None, hosts: int | None, rate: float | None) -> Day:
+    over: dict[str, Any] = {}
+    for table_name, field, value in (("", "seconds", seconds), ("balancers", "count", balancers),
+                                     ("hosts", "count", hosts), ("clients", "rate", rate)):
+        if value is not None:
+            (over.setdefault(table_name, {}) if table_name else over)[field] = value
+    return read_day(name, over)
+
+
+def warn_of_cores(balancers: int, loads: int) -> None:
+    if share_cores(balancers, loads).shared:
+        typer.echo("ternquay rig: too few cores to set one apart for each part; times are not to be trusted", err=True)
+
+
+@app.command()
+def days() -> None:
+    """Names of the days and one line on each."""
+    with told_in_a_line():
+        for name in day_names():
+            typer.echo(f"{name:18} {read_day(name).line}")
+
+
+def exit_code(result: dict[str, Any]) -> int:
+    if any(result["rules"].values()) or result["crashes"]:
+        return BROKEN
+    return LATE if result["late"] else 0
+
+
+@app.command("play")
+def play_day(day: DayName, out: Out, seed: Seed = 1, seconds: Seconds = None, balancers: Balancers = None,
+             hosts: Hosts = None, rate: Rate = None, loads: Loads = 2,
+             decisions: Annotated[str, typer.Option("--decisions", help="pat, or a baseline's name.")] = "pat") -> None:
+    """Play one day. Exit 0: no rule was broken; 1: one was; 2: it could not be played; 3: the rig was late."""
+    from ternquay.rig.report import write_report  # plots take their time to load
+
+    with told_in_a_line():
+        world = day_with(day, seconds, balancers, hosts, rate)
+        one = by_decisions(decisions)
+        warn_of_cores(world.balancers.count, loads)
+        saw = play(world, seed, one, out, loads, lambda at: show(f"{world.name} {at:.0f} of {world.seconds:.0f} s"))
+        breaches = judge(world, saw)
+        result = measure(world, saw, breaches)
+        result["cores_shared"] = share_cores(world.balancers.count, loads).shared
+        write_report(out, world, saw, result, breaches)
+    show("")
+    typer.echo(f"{world.name}: service {result['service']:.3f}, p99 {result['latency_ms']['p99']} ms, "
+               f"{result['txs']} txs, rules {result['rules']}" + (", late: void" if result["late"] else ""))
+    for breach in breaches[:5]:
+        typer.echo(f"  {breach.rule}: {breach.what}")
+    raise typer.Exit(exit_code(result))
+
+
+@app.command("compare")
+def compare_day(day: DayName, a: Annotated[str, typer.Option("--a")], b: Annotated[str, typer.Option("--b")], out: Out,
+                repeat: Annotated[int, typer.Option("--repeat", min=1, max=100)] = 5, seed: Seed = 1,
+                seconds: Seconds = None, balancers: Balancers = None, hosts: Hosts = None, rate: Rate = None,
+                loads: Loads = 2) -> None:
+    """Play two contenders, each a revision, a settings file, `now` or a baseline's name, paired by seed."""
+    scratch = Path(tempfile.mkdtemp(prefix="ternquay-rig-"))
+    try:
+        with told_in_a_line():
+            world = day_with(day, seconds, balancers, hosts, rate)
+            warn_of_cores(world.balancers.count, loads)
+            found = compare(world, contender(a, scratch), contender(b, scratch),
+                            list(range(seed, seed + repeat)), out, loads, show)
+            out.mkdir(parents=True, exist_ok=True)
+            (out / "compare.json").write_text(json.dumps(found, indent=1) + "\n")
+    finally:
+        shutil.rmtree(scratch, ignore_errors=True)
+    show("")
+    for line in table(found):
+        typer.echo(line)
+    raise typer.Exit(0 if found["pairs"] else LATE)
+
+
+@app.command("saturate")
+def saturate_rate(out: Out, balancers: Annotated[int, typer.Option("--balancers", min=1, max=8)] = 1,
+                  loads: Loads = 2,
+                  decisions: Annotated[str, typer.Option("--decisions")] = "pat") -> None:
+    """The highest rate at which p99 stays within the service goal, and what twice that does."""
+    with told_in_a_line():
+        warn_of_cores(balancers, loads)
+        found = saturate(balancers, by_decisions(decisions), out, loads, show)
+        out.mkdir(parents=True, exist_ok=True)
+        (out / "saturate.json").write_text(json.dumps(found, indent=1) + "\n")
+    show("")
+    for point in found["points"]:
+        typer.echo(f"{point['rate']:8.0f} tx/s  p99 {point['p99_ms']:8.2f} ms  committed {point['committed']:.3f}  "
+                   f"rolled back {point['rolled_back']:.3f}  abandoned {point['abandoned']:.3f}  "
+                   f"CPU {point['cpu_us_per_tx']:6.1f} us/tx{'  late' if point['late'] else ''}")
+    typer.echo(f"highest: {found['highest_rate']:.0f} tx/s" + (" (bound by the rig)" if found["bound_by_rig"] else ""))
+
+
+@app.command()
+def fleet(day: DayName = "calm", seed: Seed = 1, hosts: Hosts = None,
+          config: Annotated[Path, typer.Option("--config", help="Where a balancer's configuration goes.")] = Path(
+              "fleet.json"),
+          listen: Annotated[str, typer.Option("--listen", help="What it says of the balancer.")] = "127.0.0.1:11211",
+          ) -> None:
+    """Only the stand-ins, until Ctrl-C, and a configuration for a balancer before them."""
+    from ternquay.rig.byhand import run
+
+    with told_in_a_line():
+        run(day_with(day, None, 1, hosts, None), seed, config, listen)
--- /dev/null
+++ b/ternquay/rig/play.py
@@ -0,0 +1,396 @@
+"""Plays one day: starts stand-ins, balancers and load on loopback, carries out the day's faults on balancers, and
+gathers what all of them saw.
+
+    saw = play(day, seed, contender, out)    # raises PlayError if it could not be played
+
+Cores are set apart: one for each balancer, one for the stand-ins, the rest for load. No process is left behind.
+"""
+
+import ctypes
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import IO, Any
+
+import msgspec
+import psutil
+
+from ternquay.rig import records
+from ternquay.rig.child import Plan
+from ternquay.rig.contender import ROOT, Contender
+from ternquay.rig.terms import MS, SECOND, Day, Planned, laid_over, planned
+
+READY_WITHIN = 20.0
+SAMPLE_EVERY = SECOND // 4
+TURN = 0.01
+TRIES = 3  # ports may be taken between the moment we find them free and the moment a balancer listens
+PDEATHSIG = 1
+KINDS = {"idempotent": "repeatable", "journalled": "by_key", "non-idempotent": "once"}
+
+
+class PlayError(Exception):
+    """The play could not be played; the text says which part ended and why."""
+
+
+class PortTaken(PlayError):
+    """Another process has a port that was free just now."""
+
+
+def tail_ms(day: Day) -> int:
+    return max(p.hard_limit_ms for p in day.profiles) + 700
+
+
+def free_place(address: str) -> str:
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        return f"{address}:{probe.getsockname()[1]}"
+
+
+def settings_of(day: Day, number: int) -> dict[str, Any]:
+    """What the platform's first message would tell a balancer, out of the day."""
+    hosts, rules = day.hosts, day.rules
+    profiles = []
+    for p in day.profiles:
+        told: dict[str, Any] = {"Name": p.name, "Semantics": KINDS[p.kind], "ServiceGoal": p.service_goal_ms * 1000,
+                                "HardLimit": p.hard_limit_ms * 1000}
+        if p.kind == "journalled":
+            told |= {"DedupScope": "all", "Window": p.memory_ms * 1000}
+        profiles.append(told)
+    return {
+        "Balancers": day.balancers.count, "MyNumber": number, "Discovery": "on_request", "Quantum": 5000,
+        "Weights": "none", "Zones": ["here"], "Kinds": ["rig"], "Tenants": [],
+        "FamilyInfo": {"Mode": "through", "OriginKind": -1}, "Profiles": profiles,
+        "Limits": {"Cancel": True, "ParallelTries": day.balancers.second_copies,
+                   "MostHops": day.balancers.most_hops, "RetryAfter": True, "MaxRetryAfter": 1_000_000,
+                   "StreamsPerConn": 16, "ConnIdle": 5_000_000, "DialTimeout": 250_000, "MostHeld": 20_000},
+        "Invariants": {"ColdShare": hosts.cold_share, "WarmWithin": hosts.warm_within_ms * 1000,
+                       "TipMultiple": hosts.tip_multiple, "Fall": hosts.tip_window_ms * 1000,
+                       "DrainGrace": rules.drain_grace_ms * 1000, "MustAskIn": 10_000_000},
+    }
+
+
+@dataclass(slots=True)
+class Cores:
+    """Which core each part has; `shared` where there are too few to set apart."""
+
+    balancers: list[int]
+    standins: int
+    loads: list[int]
+    shared: bool
+
+
+def share_cores(balancers: int, loads: int) -> Cores:
+    cores = sorted(os.sched_getaffinity(0))
+    wanted = balancers + 1 + loads
+    ring = [cores[n % len(cores)] for n in range(wanted)]
+    return Cores(ring[:balancers], ring[balancers], ring[balancers + 1:], wanted > len(cores))
+
+
+def bound_to(core: int) -> Callable[[], None]:
+    """For a child before it begins: its core, and an end when this process dies."""
+    libc = ctypes.CDLL(None)
+
+    def prepare() -> None:
+        os.sched_setaffinity(0, {core})
+        libc.prctl(PDEATHSIG, signal.SIGKILL)
+
+    return prepare
+
+
+@dataclass(slots=True)
+class Running:
+    """One process of the play; `log` is what it wrote on standard error."""
+
+    name: str
+    process: "subprocess.Popen[bytes]"
+    log: Path
+    meter: psutil.Process
+
+    def told(self) -> dict[str, Any]:
+        """The one line that says it is ready."""
+        os.set_blocking(self.out().fileno(), False)
+        line, until = b"", time.monotonic() + READY_WITHIN
+        while not line.endswith(b"\n"):
+            if self.process.poll() is not None or time.monotonic() > until:
+                raise PlayError(f"{self.name} did not get ready: {self.last_words()}")
+            line += self.out().readline() or b""
+            time.sleep(TURN)
+        found: dict[str, Any] = json.loads(line)
+        return found
+
+    def out(self) -> IO[bytes]:
+        assert self.process.stdout is not None
+        return self.process.stdout
+
+    def say(self, line: str) -> None:
+        assert self.process.stdin is not None
+        try:
+            self.process.stdin.write(line.encode())
+            self.process.stdin.flush()
+        except OSError as fault:
+            raise PlayError(f"{self.name} ended: {self.last_words()}") from fault
+
+    def last_words(self) -> str:
+        lines = self.log.read_text(errors="replace").strip().splitlines()
+        return lines[-1][:300] if lines else f"exit {self.process.poll()}"
+
+
+@dataclass(slots=True)
+class Stage:
+    """All processes of a play, ended with it whatever happens."""
+
+    out: Path
+    all: list[Running] = field(default_factory=list)
+
+    def start(self, name: str, command: list[str], core: int, tree: Path = ROOT, piped: bool = True) -> Running:
+        log = self.out / "logs" / f"{name}.log"
+        pipe = subprocess.PIPE if piped else subprocess.DEVNULL
+        with open(log, "ab") as errors:
+            process = subprocess.Popen(
+                command, cwd=tree, stdin=pipe, stdout=pipe, stderr=errors, preexec_fn=bound_to(core),
+                env=os.environ | {"PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1"})
+        running = Running(name, process, log, psutil.Process(process.pid))
+        self.all.append(running)
+        return running
+
+    def end(self) -> None:
+        for one in self.all:
+            if one.process.poll() is None:
+                one.process.kill()
+        for one in self.all:
+            one.process.wait()
+            for stream in (one.process.stdin, one.process.stdout):
+                if stream is not None:
+                    with suppress(OSError):  # what it was to be told and is not there to hear
+                        stream.close()
+
+
+@contextmanager
+def staged(out: Path) -> Iterator[Stage]:
+    (out / "logs").mkdir(parents=True, exist_ok=True)
+    stage = Stage(out)
+    try:
+        yield stage
+    finally:
+        stage.end()
+
+
+class Balancer:
+    """One balancer through all its lives."""
+
+    def __init__(self, stage: Stage, day: Day, number: int, contender: Contender, seed: int, core: int) -> None:
+        self.stage, self.day, self.number, self.contender, self.core = stage, day, number, contender, core
+        self.seed = seed
+        self.listen = free_place(f"127.3.0.{number + 1}")
+        self.config = stage.out / f"balancer-{number}.json"
+        self.lives: list[records.Life] = []
+        self.samples: list[records.Sample] = []
+        self.spent = 0.0  # CPU seconds of the lives before this one
+        self.running: Running | None = None
+        self.told: dict[str, Any] = {}
+
+    def configure(self, discovery: str, known: dict[str, Any]) -> None:
+        self.told = laid_over({
+            "name": f"balancer-{self.number}", "listen": self.listen, "discovery": discovery,
+            "seed": f"{Random(f'{self.seed}/balancer/{self.number}').randrange(1 << 64):016x}",
+            "limits": {"cores": 1.0, "memory_mb": self.day.balancers.memory_mb,
+                       "sockets": self.day.balancers.sockets},
+            "known": known, "settings": settings_of(self.day, self.number),
+        }, self.contender.over)
+        self._write()
+
+    def _write(self) -> None:
+        beside = self.config.with_suffix(".new")
+        beside.write_text(json.dumps(self.told))
+        beside.replace(self.config)
+
+    def move_discovery(self, discovery: str) -> None:
+        self.told["discovery"] = discovery
+        self._write()
+        self.signal(signal.SIGHUP)
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.running is not None and self.running.process.poll() is None:
+            self.running.process.send_signal(number)
+
+    def start(self) -> None:
+        command = self.contender.command(self.config.resolve())
+        self.running = self.stage.start(f"balancer-{self.number}", command, self.core, self.contender.tree, False)
+        self.lives.append(records.Life(self.number, time.monotonic_ns()))
+
+    def answers(self) -> bool:
+        """Whether it says that it serves."""
+        host, port = self.listen.rsplit(":", 1)
+        try:
+            with socket.create_connection((host, int(port)), timeout=0.5) as probe:
+                probe.sendall(b"mn\r\n")
+                return probe.recv(16).startswith(b"MN")
+        except OSError:
+            return False
+
+    def wait_ready(self) -> None:
+        until = time.monotonic() + READY_WITHIN
+        while not self.answers():
+            assert self.running is not None
+            if self.running.process.poll() is not None:
+                words = self.running.last_words()
+                raise (PortTaken if "in use" in words else PlayError)(f"{self.running.name}: {words}")
+            if time.monotonic() > until:
+                raise PlayError(f"{self.running.name} did not get ready: {self.running.last_words()}")
+            time.sleep(TURN)
+
+    def kill(self) -> None:
+        life = self.lives[-1]
+        life.killed, life.ended = True, time.monotonic_ns()
+        self.signal(signal.SIGKILL)
+
+    def ask_to_end(self) -> None:
+        self.lives[-1].told_to_end = time.monotonic_ns()
+        self.signal(signal.SIGTERM)
+
+    def look(self, now: int) -> None:
+        """Notes an end that came by itself, and what the process uses."""
+        assert self.running is not None
+        code = self.running.process.poll()
+        life = self.lives[-1]
+        if code is not None:
+            if not life.ended:
+                life.ended, life.code = now, code
+            return
+        try:
+            with self.running.meter.oneshot():
+                times = self.running.meter.cpu_times()
+                self.samples.append(records.Sample(
+                    now, self.number, self.spent + times.user + times.system,
+                    self.running.meter.memory_info().rss, self.running.meter.num_fds()))
+        except psutil.Error:
+            pass
+
+    def again(self) -> bool:
+        """Starts it anew; False if the one before is not gone and has time left to end in order."""
+        assert self.running is not None
+        patience = (max(p.hard_limit_ms for p in self.day.profiles) + 700) * MS
+        if self.running.process.poll() is None:
+            if time.monotonic_ns() < self.lives[-1].told_to_end + patience:
+                return False
+            self.running.process.kill()
+            self.running.process.wait()
+        if not self.lives[-1].ended:
+            self.lives[-1].ended = time.monotonic_ns()
+        self.spent = self.samples[-1].cpu if self.samples else 0.0
+        self.start()
+        return True
+
+
+def balancer_events(faults: tuple[Planned, ...], balancers: list[Balancer],
+                    second: list[str]) -> list[tuple[int, Callable[[], bool | None]]]:
+    """What is done to balancers, and when; `second` are the addresses that discovery moves to."""
+    events: list[tuple[int, Callable[[], bool | None]]] = []
+    for f in faults:
+        if f.kind not in ("balancer-kill", "balancer-restart", "reload"):
+            continue
+        balancer = balancers[f.balancer]
+        if f.kind == "reload":
+            where = second[f.balancer]
+            events.append((f.start, lambda b=balancer, w=where: b.move_discovery(w)))  # type: ignore[misc]
+        else:
+            events.append((f.start, balancer.kill if f.kind == "balancer-kill" else balancer.ask_to_end))
+            events.append((f.end, balancer.again))
+    return sorted(events, key=lambda e: e[0])
+
+
+def follow(day: Day, begin: int, events: list[tuple[int, Callable[[], bool | None]]], balancers: list[Balancer],
+           children: list[Running], progress: Callable[[float], None]) -> None:
+    """Until stand-ins and load have ended by themselves; raises PlayError if one ended otherwise."""
+    last = begin + int((day.seconds + tail_ms(day) / 1000 + 15) * SECOND)
+    sampled = 0
+    while any(child.process.poll() is None for child in children):
+        now = time.monotonic_ns()
+        while events and begin + events[0][0] <= now:
+            _, what = events.pop(0)
+            if what() is False:
+                events.insert(0, (now + 50 * MS - begin, what))
+                break
+        if now - sampled >= SAMPLE_EVERY:
+            sampled = now
+            for balancer in balancers:
+                balancer.look(now)
+            progress((now - begin) / SECOND)
+        for child in children:
+            if child.process.poll() not in (None, 0):
+                raise PlayError(f"{child.name} ended: {child.last_words()}")
+        if now > last:
+            raise PlayError("the play did not end in its time")
+        time.sleep(TURN)
+
+
+def play(day: Day, seed: int, contender: Contender, out: Path, loads: int = 2,
+         progress: Callable[[float], None] = lambda at: None) -> records.Saw:
+    """Plays the day once. Other ports are used where one was taken."""
+    shutil.rmtree(out / "logs", ignore_errors=True)
+    for last in (False,) * (TRIES - 1) + (True,):
+        try:
+            with staged(out) as stage:
+                return _play(stage, day, seed, contender, loads, progress)
+        except PortTaken:
+            if last:
+                raise
+    raise AssertionError
+
+
+def _play(stage: Stage, day: Day, seed: int, contender: Contender, loads: int,
+          progress: Callable[[float], None]) -> records.Saw:
+    cores = share_cores(day.balancers.count, loads)
+    balancers = [Balancer(stage, day, n, contender, seed, cores.balancers[n]) for n in range(day.balancers.count)]
+    plan = Plan(day, seed, "", epoch_ms=time.time_ns() // MS, balancers=[b.listen for b in balancers], loads=loads,
+                tail_ms=tail_ms(day))
+
+    def child(name: str, module: str, core: int, **terms: Any) -> Running:
+        saw = stage.out / f"{name}.saw"
+        saw.unlink(missing_ok=True)
+        path = stage.out / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(msgspec.structs.replace(plan, out=str(saw.resolve()), **terms)))
+        return stage.start(name, [sys.executable, "-m", module, str(path.resolve())], core)
+
+    standins = child("standins", "ternquay.rig.standins", cores.standins)
+    clients = [child(f"load-{n}", "ternquay.rig.load", core, index=n) for n, core in enumerate(cores.loads)]
+    told = standins.told()
+    for balancer in balancers:
+        balancer.configure(told["discovery"][balancer.number][0], json.loads(told["known"]))
+        balancer.start()
+    for one in clients:
+        one.told()
+    for balancer in balancers:
+        balancer.wait_ready()
+    begin = time.monotonic_ns() + 300 * MS
+    children = [standins, *clients]
+    for running in children:
+        running.say(f"begin {begin}\n")
+    events = balancer_events(planned(day, seed), balancers, [second for _, second in told["discovery"]])
+    follow(day, begin, events, balancers, children, progress)
+    return gathered(stage, day, seed, begin, balancers, len(clients))
+
+
+def gathered(stage: Stage, day: Day, seed: int, begin: int, balancers: list[Balancer], loads: int) -> records.Saw:
+    try:
+        fleet = records.read_fleet(stage.out / "standins.saw")
+        clients = [records.read_load(stage.out / f"load-{n}.saw") for n in range(loads)]
+    except (OSError, msgspec.DecodeError) as fault:
+        raise PlayError(f"what was seen can't be read: {fault}") from fault
+    for name in ("standins", *(f"load-{n}" for n in range(loads))):
+        (stage.out / f"{name}.saw").unlink()
+        (stage.out / f"{name}.json").unlink()
+    return records.Saw(
+        day=day.name, seed=seed, seconds=day.seconds, begin=begin, loads=clients, fleet=fleet,
+        lives=[life for b in balancers for life in b.lives], samples=[s for b in balancers for s in b.samples],
+    )
--- /dev/null
+++ b/ternquay/rig/standins/__main__.py
@@ -0,0 +1,33 @@
+"""The process of all stand-ins: cache hosts, the origin behind them, discovery."""
+
+import sys
+import time
+from pathlib import Path
+
+from ternquay.rig import records
+from ternquay.rig.child import Plan, cpu, install, live, read_plan
+from ternquay.rig.standins.discovery import DiscoveryDriver
+from ternquay.rig.standins.hosts import FleetDriver
+from ternquay.rig.terms import planned
+
+
+def run(plan: Plan) -> None:
+    reactor = install()
+    hosts = FleetDriver(reactor, plan.day, planned(plan.day, plan.seed), plan.seed, time.monotonic_ns)
+    discovery = DiscoveryDriver(reactor, lambda: hosts.law.listing, time.monotonic_ns, plan.day.balancers.count,
+                                plan.epoch_ms)
+    hosts.on_list = discovery.changed
+    listing = hosts.law.listing
+    known = discovery.shown(listing.revision(0), True, listing.whole(0)).decode()
+
+    def begin(at: int) -> None:
+        hosts.start(at)
+        discovery.start(at)
+
+    def end() -> None:
+        records.write(Path(plan.out), hosts.saw(discovery.told, cpu()))
+
+    live(reactor, plan, {"places": hosts.places, "discovery": discovery.places, "known": known}, begin, end)
+
+
+run(read_plan(sys.argv[1]))
--- /dev/null
+++ b/ternquay/rig/standins/discovery.py
@@ -0,0 +1,135 @@
+"""Discovery on sockets: HTTP with watches, at two addresses for each balancer, as one may move."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from ternquay.rig import records
+from ternquay.rig.laws.listing import Entry, Listing
+from ternquay.rig.terms import MS, SECOND
+
+WAIT_MOST = 60_000
+GARBAGE = (b"", b"{", b'{"revision":"x","complete":true,"members":[{}]}', b"\xff\x00<html>", b"[]")
+
+
+@dataclass(slots=True, eq=False)
+class Watch:
+    call: Request
+    index: int
+    until: int
+    balancer: int
+
+
+class Targets(Resource):
+    """`/api/targets` as one balancer sees it."""
+
+    isLeaf = True
+
+    def __init__(self, driver: "DiscoveryDriver", balancer: int) -> None:
+        super().__init__()
+        self.driver, self.balancer = driver, balancer
+
+    def render_GET(self, call: Request) -> Any:
+        return self.driver.asked(call, self.balancer)
+
+
+def number_in(call: Request, name: bytes) -> int | None:
+    words = (call.args or {}).get(name, [b""])
+    return int(words[0]) if words[0].isdigit() and len(words[0]) < 12 else None
+
+
+class DiscoveryDriver:
+    def __init__(self, reactor: Any, listing: Callable[[], Listing], clock: Callable[[], int], balancers: int,
+                 epoch_ms: int) -> None:
+        self.reactor, self.listing, self.clock, self.epoch_ms = reactor, listing, clock, epoch_ms
+        self.begin = 0
+        self.watches: set[Watch] = set()
+        self.told: list[records.Told] = []
+        self.spoilt = 0
+        self.places: list[list[str]] = []
+        for balancer in range(balancers):
+            site = Site(Targets(self, balancer))
+            site.noisy = False
+            ports = [reactor.listenTCP(0, site, 256, f"127.2.{balancer}.{n}") for n in (1, 2)]
+            self.places.append([f"127.2.{balancer}.{n}:{port.getHost().port}" for n, port in enumerate(ports, 1)])
+
+    def now(self) -> int:
+        return self.clock() - self.begin if self.begin else 0
+
+    def start(self, begin: int) -> None:
+        self.begin = begin
+        for fault in self.listing().faults:
+            if fault.kind == "list-down":
+                self.reactor.callLater((begin + fault.start - self.clock()) / SECOND, self.end_watches)
+
+    def end_watches(self) -> None:
+        """Discovery went down."""
+        watches, self.watches = self.watches, set()
+        for watch in watches:
+            self._fail(watch.call)
+
+    def _fail(self, call: Any) -> None:
+        if call.channel is not None and call.channel.transport is not None:
+            call.channel.abortConnection()
+
+    def asked(self, call: Request, balancer: int) -> Any:
+        listing, now = self.listing(), self.now()
+        if listing.down(now):
+            if self.spoilt % 2:
+                call.setResponseCode(503)
+                self.spoilt += 1
+                return b"down"
+            self.spoilt += 1
+            self._fail(call)
+            return NOT_DONE_YET
+        if listing.garbage(now):
+            self.spoilt += 1
+            return GARBAGE[self.spoilt % len(GARBAGE)]
+        index, wait = number_in(call, b"index"), min(WAIT_MOST, number_in(call, b"wait") or 0)
+        if index is None:
+            return self._write(balancer, listing.revision(now), True, listing.whole(now))
+        if listing.revision(now) > index or not wait:
+            return self._write(balancer, listing.revision(now), False, listing.since(now, index))
+        watch = Watch(call, index, now + wait * MS, balancer)
+        self.watches.add(watch)
+        call.notifyFinish().addErrback(lambda _: self.watches.discard(watch))
+        self.reactor.callLater(wait / 1000, self._look, watch)
+        return NOT_DONE_YET
+
+    def changed(self, at: int) -> None:
+        """There will be something new at that time of the play."""
+        self.reactor.callLater(max(0, at - self.now()) / SECOND + 0.001, self._look_all)
+
+    def _look_all(self) -> None:
+        for watch in list(self.watches):
+            self._look(watch)
+
+    def _look(self, watch: Watch) -> None:
+        listing, now = self.listing(), self.now()
+        if watch not in self.watches or (listing.revision(now) <= watch.index and now < watch.until):
+            return
+        self.watches.discard(watch)
+        if listing.garbage(now):
+            watch.call.write(GARBAGE[1])
+        else:
+            entries = listing.since(now, watch.index)
+            watch.call.write(self._write(watch.balancer, listing.revision(now), False, entries))
+        watch.call.finish()
+
+    def _write(self, balancer: int, revision: int, whole: bool, entries: list[Entry]) -> bytes:
+        now = self.now() + self.begin
+        self.told += [records.Told(balancer, now, entry.id, entry.phase) for entry in entries]
+        if whole:
+            # What is not in it is told as gone just so.
+            named, known = {entry.id for entry in entries}, self.listing().entries[:revision]
+            gone = {entry.id for entry in known} - named
+            self.told += [records.Told(balancer, now, id, "removed") for id in sorted(gone)]
+        return self.shown(revision, whole, entries)
+
+    def shown(self, revision: int, whole: bool, entries: list[Entry]) -> bytes:
+        members = [entry.told(self.epoch_ms) for entry in entries]
+        return orjson.dumps({"revision": revision, "complete": whole, "members": members})
--- /dev/null
+++ b/ternquay/rig/terms.py
@@ -0,0 +1,223 @@
+"""A day of the rig: the world that is played, decoded from TOML and checked before anything starts."""
+
+import tomllib
+from importlib import resources
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+MIB = 1 << 20
+
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Millis = Annotated[int, msgspec.Meta(ge=0)]
+FaultKind = Literal[
+    "host-slow", "host-silent", "host-crash", "host-replaced", "rolling-release", "origin-slow", "hot-key", "burst",
+    "once-keys", "list-down", "list-late", "list-garbage", "link-refuse", "link-reset", "link-delay", "link-drip",
+    "link-cut", "link-silent", "answers-lost", "answers-spoilt", "balancer-kill", "balancer-restart", "reload",
+]
+ON_HOSTS = {"host-slow", "host-silent", "host-crash", "host-replaced", "link-refuse", "link-reset", "link-delay",
+            "link-drip", "link-cut", "link-silent", "answers-lost", "answers-spoilt"}
+BALANCER_FAULTS = {"balancer-kill", "balancer-restart", "reload"}
+
+
+class DayError(ValueError):
+    """A day, or what is laid over it, can't be used; the text names the file and the field."""
+
+
+class Terms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The base of all parts of a day: nothing that is not known is passed over in silence."""
+
+
+class ProfileTerms(Terms, frozen=True):
+    name: str
+    kind: Literal["idempotent", "journalled", "non-idempotent"]
+    share: Share
+    revenue: Positive
+    work_ms: tuple[Positive, Positive]  # of a core of speed 1, from and to
+    service_goal_ms: Count
+    hard_limit_ms: Count
+    memory_ms: Millis = 0  # how long repeats of a journalled one are dropped
+
+    @property
+    def write(self) -> bool:
+        return self.kind != "idempotent"
+
+
+class HostTerms(Terms, frozen=True):
+    count: Count = 10
+    cores: Count = 1
+    speed: tuple[Positive, Positive] = (0.9, 1.4)
+    queue: Count = 40  # commands that wait or run; beyond that it turns away
+    keep_bytes: Count = 900_000
+    kept_at_start: Share = 0.9  # of those bytes, the keys most asked for
+    shares_fetches: bool = True
+    cold_share: Share = 0.2
+    warm_within_ms: Count = 6000
+    tip_multiple: Positive = 4.0
+    tip_window_ms: Count = 1000
+
+
+class OriginTerms(Terms, frozen=True):
+    places: Count = 12
+    took_ms: tuple[Positive, Positive] = (30.0, 70.0)
+    stopping_rate: Positive = 420.0  # fetches and writes a second, over the window
+    stopping_window_ms: Count = 1000
+    stopped_ms: Count = 3000
+    queue: Count = 400
+
+
+class ClientTerms(Terms, frozen=True):
+    rate: Positive = 400.0  # transactions a second, of all balancers together
+    keys: Count = 4000
+    skew: float = 0.9
+    value_bytes: tuple[Count, Count] = (200, 2000)
+    tries: Count = 3
+    leaves_early: Share = 0.002
+    pipelined: Share = 0.05
+    connections: Count = 40  # at most, to one balancer from one load process
+
+
+class ListTerms(Terms, frozen=True):
+    late_ms: tuple[Millis, Millis] = (300, 1500)
+
+
+class RuleTerms(Terms, frozen=True):
+    drain_grace_ms: Count = 500
+    slack_ms: Count = 50  # on sockets each limit in time is so much longer
+    cold_part: Share = 0.5  # of the fetches before a stop: from there on it is the cold hosts'
+
+
+class BalancerTerms(Terms, frozen=True):
+    count: Count = 2
+    sockets: Annotated[int, msgspec.Meta(ge=48)] = 512
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 128
+    most_hops: Count = 4
+    second_copies: bool = True
+
+
+class Fault(Terms, frozen=True):
+    kind: FaultKind
+    start: Share  # of the play's length
+    end: Share
+    share: Share | None = None  # of the hosts, or
+    count: Count | None = None  # so many of them
+    balancer: Annotated[int, msgspec.Meta(ge=0)] = 0
+    factor: Positive = 1.0
+    part: Share = 0.0  # of answers, connections, arrivals or commands, by kind
+    ms: Millis = 0
+
+
+class Day(Terms, frozen=True):
+    name: str
+    line: str
+    profiles: tuple[ProfileTerms, ...]
+    seconds: Positive = 20.0
+    hosts: HostTerms = HostTerms()
+    origin: OriginTerms = OriginTerms()
+    clients: ClientTerms = ClientTerms()
+    list: ListTerms = ListTerms()
+    rules: RuleTerms = RuleTerms()
+    balancers: BalancerTerms = BalancerTerms()
+    faults: tuple[Fault, ...] = ()
+
+
+class Planned(msgspec.Struct, frozen=True):
+    """A fault with its times and targets settled."""
+
+    kind: str
+    start: int
+    end: int
+    hosts: tuple[int, ...]
+    balancer: int
+    factor: float
+    part: float
+    pause: int
+    count: int
+
+
+def _fault_of(day: Day) -> str:
+    """What is wrong with a day beyond the types of its fields, or nothing."""
+    if not day.profiles:
+        return "profiles: at least one is wanted"
+    total = sum(p.share for p in day.profiles)
+    if abs(total - 1.0) > 1e-6:
+        return f"profiles: the shares add up to {total:g}, not 1"
+    for i, p in enumerate(day.profiles):
+        if p.service_goal_ms > p.hard_limit_ms:
+            return f"profiles[{i}].service_goal_ms: {p.service_goal_ms} is past the hard limit"
+        if p.work_ms[0] > p.work_ms[1]:
+            return f"profiles[{i}].work_ms: the first is larger than the second"
+        if p.kind == "journalled" and not p.memory_ms:
+            return f"profiles[{i}].memory_ms: a journalled profile needs one"
+    for i, f in enumerate(day.faults):
+        if f.end <= f.start:
+            return f"faults[{i}].end: {f.end} is not after the start"
+        if f.kind in ON_HOSTS | {"rolling-release"} and f.share is None and f.count is None:
+            return f"faults[{i}].share: a share or a count of hosts is wanted"
+        if f.kind in BALANCER_FAULTS and f.balancer >= day.balancers.count:
+            return f"faults[{i}].balancer: there are {day.balancers.count} balancers, from 0"
+    return ""
+
+
+def _checked(told: Any, where: str) -> Day:
+    try:
+        day = msgspec.convert(told, Day)
+    except msgspec.ValidationError as fault:
+        text, _, path = str(fault).partition(" - at `$")
+        raise DayError(f"{where}: {path.strip('.`') or 'the day'}: {text}") from fault
+    if wrong := _fault_of(day):
+        raise DayError(f"{where}: {wrong}")
+    return day
+
+
+def day_names() -> list[str]:
+    folder = resources.files("ternquay.rig") / "days"
+    return sorted(entry.name[:-5] for entry in folder.iterdir()
+                  if entry.name.endswith(".toml") and entry.name != "base.toml")
+
+
+def _read(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
+        raise DayError(f"{path}: {fault}") from fault
+
+
+def laid_over(below: dict[str, Any], above: dict[str, Any]) -> dict[str, Any]:
+    """Tables are merged, all else is replaced."""
+    both = dict(below)
+    for field, value in above.items():
+        old = both.get(field)
+        both[field] = laid_over(old, value) if isinstance(old, dict) and isinstance(value, dict) else value
+    return both
+
+
+def read_day(name: str, over: dict[str, Any] | None = None) -> Day:
+    """A day of the rig by its name, or of one's own by the path of its file; `over` is laid over it."""
+    folder = Path(str(resources.files("ternquay.rig") / "days"))
+    path = Path(name) if name.endswith(".toml") else folder / f"{name}.toml"
+    if not name.endswith(".toml") and name not in day_names():
+        raise DayError(f"{name}: no day of that name; there are {', '.join(day_names())}")
+    told = laid_over(laid_over(_read(folder / "base.toml"), _read(path)), over or {})
+    told.setdefault("name", path.stem)
+    return _checked(told, str(path) if name.endswith(".toml") else path.name)
+
+
+def planned(day: Day, seed: int) -> tuple[Planned, ...]:
+    """The faults of a day with their targets drawn; the same for the same seed."""
+    length, found = int(day.seconds * SECOND), []
+    for i, f in enumerate(day.faults):
+        drawn = Random(f"{seed}/fault/{i}")
+        many = f.count if f.count is not None else round((f.share or 0.0) * day.hosts.count)
+        hosts = tuple(sorted(drawn.sample(range(day.hosts.count), min(max(1, many), day.hosts.count))))
+        found.append(Planned(f.kind, int(f.start * length), int(f.end * length), hosts, f.balancer, f.factor,
+                             f.part, f.ms * MS, f.count or 1))
+    return tuple(found)
+
+
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,219 @@
+"""The rig as it is used: its command line, bad input, figures, and short plays with real processes on loopback."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import psutil
+import pytest
+from typer.testing import CliRunner
+
+from ternquay.rig import records
+from ternquay.rig.commands import app
+from ternquay.rig.compare import interval, verdict
+from ternquay.rig.contender import contender
+from ternquay.rig.judge import judge
+from ternquay.rig.measure import measure
+from ternquay.rig.standins.reader import CommandReader, Strange
+from ternquay.rig.terms import MS, DayError, day_names, planned, read_day
+from ternquay.rig.virtual import World
+from tests.test_judge import QUIET, Right
+
+DAYS = {"calm", "slow-origin", "silent-host", "crash-fifth", "rolling-release", "hot-key", "burst", "discovery-down",
+        "stale-list", "garbling", "resets", "balancer-killed", "planned-restarts", "reload", "all-together"}
+
+
+def rig(*words: str) -> tuple[int, str]:
+    done = CliRunner().invoke(app, list(words))
+    return done.exit_code, done.output
+
+
+def test_all_days_are_there_and_each_has_a_line() -> None:
+    assert set(day_names()) == DAYS
+    code, text = rig("days")
+    assert code == 0 and all(len(line.split(maxsplit=1)) == 2 for line in text.splitlines())
+    assert {line.split()[0] for line in text.splitlines()} == DAYS
+
+
+def test_a_fault_has_the_same_targets_for_the_same_seed() -> None:
+    day = read_day("crash-fifth")
+    assert planned(day, 3) == planned(day, 3)
+    assert len({planned(day, seed)[0].hosts for seed in range(9)}) > 1
+    assert len(planned(day, 3)[0].hosts) == 2
+
+
+BAD = [
+    ("line = 3", "line: Expected `str`, got `int`"),
+    ("nonsense", "Expected '=' after a key"),
+    ("seconds = -1.0", "seconds: Expected `float` > 0.0"),
+    ("[hosts]\nspead = [1.0, 1.0]", "hosts: Object contains unknown field `spead`"),
+    ('[[faults]]\nkind = "meteor"\nstart = 0.1\nend = 0.2', "faults[0].kind: Invalid enum value 'meteor'"),
+    ('[[faults]]\nkind = "burst"\nstart = 0.5\nend = 0.2', "faults[0].end: 0.2 is not after the start"),
+    ('[[faults]]\nkind = "host-crash"\nstart = 0.1\nend = 0.2', "faults[0].share: a share or a count"),
+    ('[[faults]]\nkind = "reload"\nstart = 0.1\nend = 0.2\nbalancer = 7', "faults[0].balancer: there are 2"),
+    ("profiles = []", "profiles: at least one is wanted"),
+]
+
+
+@pytest.mark.parametrize(("text", "said"), BAD)
+def test_a_bad_day_is_told_in_a_line_that_names_file_and_field(text: str, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "mine.toml"
+    path.write_text(text if "line" in text else f'line = "mine"\n{text}')
+    code, told = rig("play", str(path), "--out", str(tmp_path / "out"))
+    assert code == 2 and len(told.strip().splitlines()) == 1
+    assert "mine.toml" in told and said in told
+
+
+def test_other_bad_input_is_told_in_a_line(tmp_path: Path) -> None:
+    out = ["--out", str(tmp_path / "out")]
+    settings = tmp_path / "s.toml"
+    settings.write_text("[tables]\n")
+    for words, said in (
+        (["play", "monday", *out], "no day of that name"),
+        (["play", "calm", "--decisions", "best", *out], "--decisions: best"),
+        (["compare", "calm", "--a", "pat", "--b", "no-such-revision", *out], "no revision"),
+        (["compare", "calm", "--a", "pat", "--b", str(settings), *out], "tables: only the tables"),
+        (["compare", "calm", "--a", "pat", "--b", str(tmp_path / "none.toml"), *out], "No such file"),
+        (["play", "calm", "--out", "/dev/null/x"], "Not a directory"),
+    ):
+        code, told = rig(*words)
+        assert code == 2 and len(told.strip().splitlines()) == 1 and said in told, told
+    assert rig("play", "calm", "--seconds", "soon", *out)[0] == 2
+
+
+def test_the_balancer_does_not_load_the_rig() -> None:
+    ours = ("ternquay.rig", "numpy", "msgspec", "matplotlib", "psutil")
+    code = f"import sys, ternquay.cli, ternquay.net.serve\nprint([m for m in sys.modules if m.startswith({ours})])"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout == "[]\n"
+
+
+def test_commands_come_whole_however_they_are_cut_and_what_is_none_is_strange() -> None:
+    text = b"mg k1 v Oa1 Pc=clip,d=900\r\nms k2 5 Ob2 Pc=note,d=50,k=m7\r\nhe\r\no\r\nmg k3 v Oc3 Pc=clip,d=1\r\n"
+    for cut in (1, 2, 7, 200):
+        reader, found = CommandReader(), []
+        for at in range(0, len(text), cut):
+            found += reader.feed(at, text[at: at + cut])
+        assert [(c.id, c.key, c.write, c.mark, c.wait_ms) for c in found] == [
+            ("a1", "k1", False, "", 900), ("b2", "k2", True, "m7", 50), ("c3", "k3", False, "", 1)]
+        if cut == 1:
+            assert [c.came for c in found] == [0, 27, 65]
+    for bad in (b"get k\r\n", b"mg k v Oa\r\n", b"mg k v Oa Pc=clip\r\n", b"mg k v Oa Pc=clip,d=0\r\n",
+                b"ms k x Oa Pc=c,d=1\r\n", b"ms k 1 Oa Pc=c,d=1\r\nabc\r\n", b"mg k v Oa Ob Pc=c,d=1\r\n",
+                b"x" * 5000):
+        with pytest.raises(Strange):
+            CommandReader().feed(0, bad)
+
+
+def test_figures_of_a_play_are_those_of_its_transactions() -> None:
+    day = read_day("calm", QUIET)
+    saw = World(day, 3, Right).run()
+    result = measure(day, saw, judge(day, saw))
+    assert result["txs"] == len({t.number for t in saw.loads[0].tries}) == result["committed"]
+    assert result["service"] > 0.99 and not any(result["rules"].values())
+    one = next(t for t in saw.loads[0].tries if t.profile == 2)
+    asked = sum(day.profiles[t.profile].revenue for t in saw.loads[0].tries)
+    one.ended += day.profiles[2].service_goal_ms * MS
+    assert measure(day, saw, [])["service"] == pytest.approx(result["service"] - 5.0 / asked, abs=1e-4)
+
+
+def test_a_play_that_was_late_says_so() -> None:
+    day = read_day("calm", QUIET)
+    saw = World(day, 3, Right).run()
+    assert not measure(day, saw, [])["late"]
+    saw.loads[0].late = [MS] * 90 + [60 * MS] * 10
+    assert measure(day, saw, [])["late"]
+
+
+def test_a_difference_is_told_only_where_there_is_one() -> None:
+    assert verdict([0.02, 0.03, 0.025, 0.031, 0.019])["told"] == "b is higher"
+    assert verdict([-0.02, -0.03, -0.025, -0.031])["told"] == "a is higher"
+    assert verdict([0.02, -0.03, 0.025, -0.01, 0.0])["told"] == "no difference to be told"
+    assert verdict([0.02, 0.03])["told"] == "no difference to be told"  # too few pairs
+    mean, low, high = interval([1.0, 2.0, 3.0])
+    assert mean == 2.0 and low <= mean <= high
+
+
+def test_a_contender_is_a_revision_a_settings_file_or_a_baseline(tmp_path: Path) -> None:
+    settings = tmp_path / "few.toml"
+    settings.write_text("[settings.Limits]\nMostHops = 1\n")
+    assert contender(str(settings), tmp_path).over == {"settings": {"Limits": {"MostHops": 1}}}
+    assert contender("random", tmp_path).decisions == "random"
+    if (Path(__file__).parents[1] / ".git").exists():
+        assert (contender("HEAD", tmp_path).tree / "ternquay" / "balance.py").exists()
+    with pytest.raises(DayError):
+        contender("--output=x", tmp_path)
+
+
+# ---- with real processes ----
+
+PLAYS: list[tuple[str, list[str]]] = [
+    ("crash-fifth", ["--seconds", "3"]), ("garbling", ["--seconds", "3", "--decisions", "bounded-load"]),
+    ("planned-restarts", ["--seconds", "4"]),
+]
+
+
+def played(out: Path, *words: str) -> tuple[int, dict[str, Any]]:
+    """A play of a few transactions; one that was late, as on a busy machine, is played again."""
+    for _ in range(3):
+        code, text = rig("play", *words, "--out", str(out), "--rate", "80", "--hosts", "5")
+        if code != 3:
+            break
+    assert code in (0, 3), text
+    return code, json.loads((out / "result.json").read_text())
+
+
+@pytest.mark.parametrize(("day", "words"), PLAYS, ids=lambda x: x if isinstance(x, str) else "")
+def test_a_short_day_breaks_no_rule(day: str, words: list[str], tmp_path: Path) -> None:
+    """Bounds hold on any machine: what the day asks for is answered, whatever it took."""
+    _, result = played(tmp_path / "out", day, *words)
+    assert result["rules"] == {"lost": 0, "twice": 0, "drains": 0, "cold": 0, "wrong": 0}
+    assert result["crashes"] == 0 and result["txs"] > 100
+    assert result["committed"] > 0.6 * result["txs"]
+    assert result["txs"] == result["committed"] + result["rolled_back"] + result["abandoned"]
+    assert {"service", "latency_ms", "hops_per_tx", "hit_share", "origin", "balancers", "late", "seed"} <= set(result)
+    page = (tmp_path / "out" / "report.html").read_text()
+    assert page.count("data:image/png;base64,") == 9 and "http" not in page
+    assert json.loads((tmp_path / "out" / "breaches.json").read_text()) == []
+
+
+def below(parent: psutil.Process) -> list[psutil.Process]:
+    try:
+        found: list[psutil.Process] = parent.children(recursive=True)
+        return found
+    except psutil.Error:
+        return []
+
+
+@pytest.mark.parametrize("victim", ["standins", "load-1", "itself"])
+def test_a_process_of_the_rig_that_dies_ends_the_play_and_leaves_none_behind(victim: str, tmp_path: Path) -> None:
+    out = tmp_path / "out"
+    command = [sys.executable, "-m", "ternquay", "rig", "play", "calm", "--seconds", "30", "--rate", "50",
+               "--out", str(out)]
+    play = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, cwd=Path(__file__).parents[1])
+    parent, until = psutil.Process(play.pid), time.monotonic() + 30
+    while len(children := below(parent)) < 5 and time.monotonic() < until:
+        time.sleep(0.05)
+    time.sleep(1.0)
+    if victim == "itself":
+        play.kill()
+    else:
+        found = next(c for c in children if f"{victim}.json" in " ".join(c.cmdline()))
+        os.kill(found.pid, signal.SIGKILL)
+    _, errors = play.communicate(timeout=30)
+    gone, alive = psutil.wait_procs(children, timeout=10)
+    assert not alive and len(gone) == len(children) == 5
+    if victim != "itself":
+        assert play.returncode == 2 and errors.count("\n") == 1 and f"{victim} ended" in errors
+
+
+def test_what_was_seen_is_read_as_it_was_written(tmp_path: Path) -> None:
+    saw = World(read_day("calm", QUIET | {"seconds": 1.0}), 3, Right).run()
+    records.write(tmp_path / "load", saw.loads[0])
+    records.write(tmp_path / "fleet", saw.fleet)
+    assert records.read_load(tmp_path / "load") == saw.loads[0]
+    assert records.read_fleet(tmp_path / "fleet") == saw.fleet
