--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -33,8 +33,7 @@
 
     def mark_turns(self, turn: Turn) -> None:
         """Has the begin of each turn told; the library has no place for it but its poller."""
-        poller = self._poller
-        self._poller = MarkedPoll(poller, lambda: turn.begins(int(self.seconds() * SECOND)))
+        self._poller = MarkedPoll(self._poller, time.monotonic_ns, turn.begins)
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> "Listener":
         listener = Listener(port, factory, backlog, interface, self)
--- a/ternquay/net/turn.py
+++ b/ternquay/net/turn.py
@@ -1,12 +1,15 @@
 """The loop's turns: how long the present one has lasted, and how long what is read in it may have lain unread.
 
 A turn begins as the poll returns. What is readable now was not at the poll before, so it has waited no longer
-than since that; and what is left to be read in a long turn waits for all that is done before it.
+than since that, and not at all if the loop stood idle; and what is left to be read in a long turn waits for all
+that is done before it.
 """
 
 from collections.abc import Callable
 from typing import Any
 
+BLOCKED = 100_000  # a poll that took so long had nothing to tell when it was asked
+
 
 class Turn:
     """Times are whole nanoseconds on the clock of whoever calls. Without a poller it stands still."""
@@ -16,8 +19,11 @@
         self.began = self.before = 0
         self.behind = 0  # since when clients may wait to be accepted, 0: at the last look there were none
 
-    def begins(self, now: int) -> None:
-        self.before, self.began = self.began or now, now
+    def begins(self, now: int, asked: int = 0) -> None:
+        """The poll that was asked at `asked` returns; one that had to wait returns with the first thing that comes."""
+        asked = asked or now
+        self.before = now if now - asked > BLOCKED else self.began or now
+        self.began = now
 
     def accepted(self, all_that_fit: bool) -> None:
         """Clients were accepted, and there may be more, or there were no more."""
@@ -38,14 +44,15 @@
 
 
 class MarkedPoll:
-    """An epoll object that tells when it returns."""
+    """An epoll object that tells when it was asked, as it returns."""
 
-    def __init__(self, poller: Any, told: Callable[[], None]) -> None:
-        self.told = told
+    def __init__(self, poller: Any, now: Callable[[], int], told: Callable[[int, int], None]) -> None:
+        self.now, self.told = now, told
         self.register, self.modify, self.unregister = poller.register, poller.modify, poller.unregister
         self.ask, self.close = poller.poll, poller.close
 
     def poll(self, *args: Any) -> Any:
+        asked = self.now()
         found = self.ask(*args)
-        self.told()
+        self.told(self.now(), asked)
         return found
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -558,3 +558,42 @@
     turn.accepted(all_that_fit=False)
     assert turn.waits_since() == 200
     assert not turn.over(310) and turn.over(311)
+
+
+def test_what_comes_while_the_loop_stands_idle_has_not_waited() -> None:
+    turn = Turn(1_000_000)
+    turn.begins(1_000_000_000)
+    # The poll had nothing to tell for 250 ms, and came back at once when there was something.
+    turn.begins(1_250_000_000, asked=1_000_200_000)
+    assert turn.unread(1_250_010_000, 0) == 10_000
+    turn.begins(1_253_000_000, asked=1_252_990_000)
+    assert turn.unread(1_253_000_000, 0) == 3_000_000
+
+
+def test_no_more_clients_are_accepted_at_once_than_fit() -> None:
+    net = Net(sockets=64)
+    most = net.limits.sockets + net.limits.spare
+    while not net.sockets.full():
+        for _ in range(net.front.room()):
+            net.client()
+        assert net.sockets.clients <= most
+    assert net.sockets.clients == most and net.front.room() == 1
+
+
+def test_a_drain_told_while_a_hop_is_half_written_lets_it_end_and_sends_nothing_new() -> None:
+    net = Net(hosts=2)
+    client = net.client()
+    client.feed(ms(1))
+    host, _, factory, _, _ = net.reactor.tcpClients.pop(0)
+    half = Wire(net, f"host {host[-1]}", factory.buildProtocol(None))
+    net.say(f"the system has a part of {half.pending!r}")
+    net.list(member(int(host[-1]), "draining"))
+    half.take()
+    half.feed(b"HD O1 cabc\r\n")
+    client.feed(ms(2))
+    other = net.accept()
+    assert other.name != half.name
+    other.feed(b"HD O2 cabc\r\n")
+    half.take()
+    assert half.lost  # idle to a host that drains: closed
+    net.matches("net_drain_half_written")
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -19,7 +20,9 @@
 from ternquay.rig.contender import contender
 from ternquay.rig.judge import judge
 from ternquay.rig.measure import measure
+from ternquay.rig.play import free_place
 from ternquay.rig.standins.reader import CommandReader, Strange
+from ternquay.rig.survey import Job, against, by_day
 from ternquay.rig.terms import MS, DayError, day_names, planned, read_day
 from ternquay.rig.virtual import World
 from tests.test_judge import QUIET, Right
@@ -217,3 +220,43 @@
     records.write(tmp_path / "fleet", saw.fleet)
     assert records.read_load(tmp_path / "load") == saw.loads[0]
     assert records.read_fleet(tmp_path / "fleet") == saw.fleet
+
+
+def test_a_port_that_is_taken_meanwhile_is_replaced_by_another(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    calls: list[str] = []
+    with socket.socket() as taken:
+        taken.bind(("127.3.0.1", 0))
+        taken.listen()
+
+        def mostly_free(address: str) -> str:
+            calls.append(address)
+            return "{}:{}".format(*taken.getsockname()) if calls.count("127.3.0.1") == 1 else free_place(address)
+
+        monkeypatch.setattr("ternquay.rig.play.free_place", mostly_free)
+        _, result = played(tmp_path / "out", "calm", "--seconds", "1")
+    assert calls.count("127.3.0.1") >= 2 and not any(result["rules"].values()) and result["crashes"] == 0
+
+
+def result_of(service: float, **terms: Any) -> dict[str, Any]:
+    return {"service": service, "worst_2s": service, "hit_share": 0.5, "hops_per_tx": 1.0, "late": False, "crashes": 0,
+            "origin": {"peak_rate": 100.0, "stopping_rate": 200.0, "stops": 0}, "rules": {"lost": 0},
+            "latency_ms": {"p50": 1.0, "p99": 9.0}, "service_by_profile": {"clip": service},
+            "balancers": [{"cpu_us_per_tx": 300.0}]} | terms
+
+
+def test_a_survey_tells_the_spread_by_day_and_pairs_by_seed() -> None:
+    results = {Job("calm", seed, name): result_of(0.9 + 0.01 * seed - 0.1 * (name == "random"))
+               for seed in range(1, 6) for name in ("pat", "random")}
+    assert by_day(results)[2].startswith("| calm | 0.930 (0.910 to 0.950) | 0.93 (0.91 to 0.95) | 9 (9 to 9) |")
+    rows = against(results)
+    assert "| calm | random | service | 0.930 | 0.830 | +0.100 [+0.100, +0.100] | pat higher |" in rows
+    assert any("hit_share" in row and "no difference to be told" in row for row in rows)
+    results[Job("calm", 1, "random")]["late"] = True  # a void play and its pair don't count
+    assert "| calm | random | service | 0.935 | 0.835 |" in "\n".join(against(results))
+    results = {job: result for job, result in results.items() if job.decisions == "pat"}
+    assert against(results) == []
+
+
+def test_more_lanes_than_cores_are_told_in_a_line(tmp_path: Path) -> None:
+    code, text = rig("survey", "calm", "--lanes", "64", "--out", str(tmp_path))
+    assert (code, text.count("\n")) == (2, 1) and "--lanes: 64" in text
