A client of the rig waits past its limit for what is before it on its connection

The wait for those before does not count, so the fault was the rig's. Test seen to fail without the change.

--- a/ternquay/rig/byhand.py
+++ b/ternquay/rig/byhand.py
@@ -8,7 +8,7 @@
 from twisted.internet.main import installReactor
 
 from ternquay.rig.child import MonotonicReactor
-from ternquay.rig.play import host_places, settings_of
+from ternquay.rig.play import configuration, host_places
 from ternquay.rig.standins.discovery import DiscoveryDriver
 from ternquay.rig.standins.hosts import FleetDriver
 from ternquay.rig.terms import MS, Day, planned
@@ -23,11 +23,8 @@
     hosts.on_list = discovery.changed
     listing = hosts.law.listing
     known = json.loads(discovery.shown(listing.revision(0), True, listing.whole(0)))
-    config.write_text(json.dumps({
-        "name": "by-hand", "listen": listen, "discovery": discovery.places[0][0], "seed": "1",
-        "limits": {"cores": 1.0, "memory_mb": day.balancers.memory_mb, "sockets": day.balancers.sockets},
-        "known": known, "settings": settings_of(day, 0),
-    }, indent=1) + "\n")
+    told = configuration(day, 0, listen, discovery.places[0][0], known, seed)
+    config.write_text(json.dumps(told, indent=1) + "\n")
     begin = time.monotonic_ns()
     hosts.start(begin)
     discovery.start(begin)
--- a/ternquay/rig/load.py
+++ b/ternquay/rig/load.py
@@ -122,7 +122,7 @@
         for sent in owed:
             self.load.ended(sent, "closed", "", now, 0)
         for sent in waiting:
-            self.load.unreached(sent, self.balancer)
+            self.load.unreached(sent)
 
     def leave(self, sent: Sent, why: str, now: int) -> None:
         """The client goes away, with all that it had asked for on this connection."""
@@ -136,7 +136,7 @@
         for other in owed:
             self.load.ended(other, why if other is sent else "left", "", now, 0)
         for other in waiting:
-            self.load.unreached(other, -1)
+            self.load.unreached(other)
 
 
 def read_answer(words: list[bytes], line: bytes, body: bytes) -> tuple[str, str, str]:
@@ -302,14 +302,28 @@
             due = self.begin + at
             self.reactor.callLater(max(0, due - self.clock()) / SECOND, self._try, sent.arrival, seen.tries + 1, due)
 
-    def unreached(self, sent: Sent, balancer: int) -> None:
+    def unreached(self, sent: Sent) -> None:
         """Its connection never came up: nothing was sent."""
         sent.seen.balancer = -1
         if not sent.seen.ended:
             self._again(sent)
 
     def _over(self, sent: Sent) -> None:
-        self._go(sent, "none")
+        """Its limit and some more are past; but the time for which it waits for those before it does not count."""
+        later = self._held_up(sent) - self.clock()
+        if later > 0 and not sent.seen.ended:
+            sent.timer = self.reactor.callLater(later / SECOND, self._over, sent)
+        else:
+            self._go(sent, "none")
+
+    def _held_up(self, sent: Sent) -> int:
+        """Until when those before it on its connection may hold up its answer."""
+        for connection in self.all[sent.seen.balancer] if sent.seen.balancer >= 0 else []:
+            if sent in connection.owed:
+                before = list(connection.owed)[: connection.owed.index(sent)]
+                ends = [one.seen.planned + one.seen.limit + GRACE for one in before]
+                return max(ends, default=connection.last) + GRACE
+        return 0
 
     def _leaves(self, sent: Sent) -> None:
         self._go(sent, "left")
--- a/ternquay/rig/measure.py
+++ b/ternquay/rig/measure.py
@@ -84,7 +84,7 @@
     return sum(earned.values()) / max(1e-9, sum(asked.values())), by
 
 
-def worst_second(day: Day, found: dict[int, list[Try]]) -> float:
+def worst_span(day: Day, found: dict[int, list[Try]]) -> float:
     """The service of the worst two seconds."""
     asked: Counter[int] = Counter()
     earned: Counter[int] = Counter()
@@ -142,7 +142,7 @@
         "day": day.name, "seed": saw.seed, "seconds": saw.seconds, "late": is_late(saw), "lateness": lateness(saw),
         "txs": len(found), "committed": ends["committed"], "rolled_back": ends["rolled_back"],
         "abandoned": ends["abandoned"], "tries": sum(len(tries) for tries in found.values()),
-        "service": round(whole, 4), "service_by_profile": by, "worst_2s": round(worst_second(day, found), 4),
+        "service": round(whole, 4), "service_by_profile": by, "worst_2s": round(worst_span(day, found), 4),
         "rules": {rule: rules[rule] for rule in RULES}, "crashes": crashes(saw),
         "latency_ms": {name: round(latency.get_value_at_percentile(p) / 1000, 2)
                        for name, p in (("p50", 50.0), ("p99", 99.0), ("p999", 99.9))},
--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -84,6 +84,17 @@
     }
 
 
+def configuration(day: Day, number: int, listen: str, discovery: str, known: dict[str, Any],
+                  seed: int) -> dict[str, Any]:
+    """What one balancer's file holds; `known` is the list in discovery's form."""
+    return {
+        "name": f"balancer-{number}", "listen": listen, "discovery": discovery,
+        "seed": f"{Random(f'{seed}/balancer/{number}').randrange(1 << 64):016x}",
+        "limits": {"cores": 1.0, "memory_mb": day.balancers.memory_mb, "sockets": day.balancers.sockets},
+        "known": known, "settings": settings_of(day, number),
+    }
+
+
 @dataclass(slots=True)
 class Cores:
     """Which core each part has; `shared` where there are too few to set apart."""
@@ -207,13 +218,8 @@
         self.told: dict[str, Any] = {}
 
     def configure(self, discovery: str, known: dict[str, Any]) -> None:
-        self.told = laid_over({
-            "name": f"balancer-{self.number}", "listen": self.listen, "discovery": discovery,
-            "seed": f"{Random(f'{self.seed}/balancer/{self.number}').randrange(1 << 64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": self.day.balancers.memory_mb,
-                       "sockets": self.day.balancers.sockets},
-            "known": known, "settings": settings_of(self.day, self.number),
-        }, self.contender.over)
+        told = configuration(self.day, self.number, self.listen, discovery, known, self.seed)
+        self.told = laid_over(told, self.contender.over)
         self._write()
 
     def _write(self) -> None:
--- a/ternquay/rig/saturate.py
+++ b/ternquay/rig/saturate.py
@@ -14,7 +14,7 @@
 from ternquay.rig.play import play
 from ternquay.rig.terms import Day, read_day
 
-FIRST, MOST, STEPS = 500.0, 20_000.0, 4
+FIRST, LEAST, MOST, STEPS = 1000.0, 100.0, 20_000.0, 3
 SECONDS, WARM_UP = 7.0, 2.0  # what the balancers learn at first is not counted
 KEPT = 0.98  # of the transactions committed, for a rate to count as carried
 PROFILE = {"name": "clip", "kind": "idempotent", "share": 1.0, "revenue": 1.0, "work_ms": [0.4, 0.8],
@@ -81,6 +81,11 @@
             high = rate
         else:
             low = rate
+    while not low and high > LEAST:
+        high /= 2  # not even the first was carried
+        if carried(at(high)):
+            low = high
     best = next((p for p in points if p["rate"] == low), None)
+    twice = next((p for p in points if p["rate"] == 2 * low), None)
     return {"balancers": balancers, "highest_rate": low, "at": best, "bound_by_rig": not high,
-            "twice": at(2 * low) if low else None, "points": points}
+            "twice": twice or (at(2 * low) if low else None), "points": points}
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -12,18 +12,24 @@
 
 import psutil
 import pytest
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 from typer.testing import CliRunner
 
 from ternquay.rig import records
+from ternquay.rig import saturate as saturating
+from ternquay.rig.child import Plan
 from ternquay.rig.commands import app
 from ternquay.rig.compare import interval, verdict
-from ternquay.rig.contender import contender
+from ternquay.rig.contender import by_decisions, contender
 from ternquay.rig.judge import judge
+from ternquay.rig.laws.clients import Arrival
+from ternquay.rig.load import Connection, Load
 from ternquay.rig.measure import measure
 from ternquay.rig.play import free_place
 from ternquay.rig.standins.reader import CommandReader, Strange
 from ternquay.rig.survey import Job, against, by_day
-from ternquay.rig.terms import MS, DayError, day_names, planned, read_day
+from ternquay.rig.terms import MS, SECOND, DayError, day_names, planned, read_day
 from ternquay.rig.virtual import World
 from tests.test_judge import QUIET, Right
 
@@ -260,3 +266,60 @@
 def test_more_lanes_than_cores_are_told_in_a_line(tmp_path: Path) -> None:
     code, text = rig("survey", "calm", "--lanes", "64", "--out", str(tmp_path))
     assert (code, text.count("\n")) == (2, 1) and "--lanes: 64" in text
+
+
+def test_the_highest_rate_is_found_by_halving_and_twice_of_it_is_tried(monkeypatch: pytest.MonkeyPatch) -> None:
+    tried: list[float] = []
+
+    def point(limit: float) -> Any:
+        def at(rate: float, *terms: Any) -> dict[str, Any]:
+            tried.append(rate)
+            return {"rate": rate, "late": rate > 9000, "p99_ms": 20.0 if rate <= limit else 300.0, "committed": 1.0}
+        return at
+
+    monkeypatch.setattr(saturating, "point", point(2700.0))
+    found = saturating.saturate(1, by_decisions("pat"), Path("."))
+    assert (found["highest_rate"], found["twice"]["rate"], found["bound_by_rig"]) == (2500.0, 5000.0, False)
+    assert tried == [1000.0, 2000.0, 4000.0, 3000.0, 2500.0, 2750.0, 5000.0]
+    monkeypatch.setattr(saturating, "point", point(300.0))
+    assert saturating.saturate(1, by_decisions("pat"), Path("."))["highest_rate"] == 250.0
+    monkeypatch.setattr(saturating, "point", point(50_000.0))
+    assert saturating.saturate(4, by_decisions("pat"), Path("."))["bound_by_rig"]
+
+
+class Clients:
+    """A load process without sockets: one connection, a clock of the test's own."""
+
+    def __init__(self) -> None:
+        self.reactor: Any = Clock()
+        self.day = read_day("calm", {"clients": {"rate": 0.001}})
+        self.load = Load(self.reactor, Plan(self.day, 1, "", balancers=["127.0.0.1:1"]))
+        self.load.clock = lambda: int(self.reactor.seconds() * SECOND) + SECOND
+        self.load.begin = SECOND
+        self.connection = Connection(self.load, 0, 1)
+        self.load.all[0].append(self.connection)
+        transport: Any = StringTransport()  # type: ignore[no-untyped-call]
+        transport.setTcpNoDelay = lambda on: None
+        self.connection.makeConnection(transport)  # type: ignore[no-untyped-call]
+
+    def send(self, number: int, profile: int) -> records.Try:
+        """One try on that connection, behind all that is owed there."""
+        now = self.load.clock() - SECOND
+        self.load.resting[0] = [self.connection]
+        self.load._try(Arrival(number, now, profile, "k", 10, 0, False), 1, now + SECOND)
+        return self.load.tries[-1]
+
+
+def test_a_client_waits_past_its_limit_for_what_is_before_it_and_for_nothing_else() -> None:
+    # Seen as a loss: an answer that had to wait behind another's, while the client closed the connection.
+    clients = Clients()
+    note, clip = clients.send(1, 3), clients.send(2, 0)
+    clients.reactor.pump([0.1] * 15)
+    assert clip.answer == "none" and not clients.connection.over
+    clients.connection.rawDataReceived(b"HD Ot1.1 ca\r\n")
+    clients.reactor.pump([0.01] * 5)
+    clients.connection.rawDataReceived(b"VA 3 Ot2.1 h1\r\nabc\r\n")
+    assert (note.answer, clip.answer) == ("receipt", "value") and clip.waited > clip.planned + clip.limit
+    alone = clients.send(3, 0)
+    clients.reactor.pump([0.1] * 12)
+    assert alone.answer == "none" and clients.connection.over
