--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,133 @@
+"""The registry of tenants: a change is all or nothing, checked against all others, and versions only rise."""
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ternquay.hosted.registry import (
+    Change,
+    Make,
+    NotThere,
+    Registry,
+    Remove,
+    Replace,
+    SetKeys,
+    SetLimits,
+    SetServers,
+    SetState,
+    Stale,
+)
+from ternquay.hosted.tenant import (
+    Guarantee,
+    Key,
+    NamedProfile,
+    Place,
+    RuleFigures,
+    Scope,
+    Server,
+    Share,
+    State,
+    Tenant,
+    TenantLimits,
+    Unfit,
+)
+from tests.helper import MARKED, READ
+
+S = 10**9
+LIMITS = TenantLimits(100.0, 50, 1000, 1 << 20, 100, 50, *(Guarantee(0.2, 0.8),) * 3)
+
+
+def tenant(name: str, number: int = 1, **terms: Any) -> Tenant:
+    return replace(Tenant(
+        name, (Place("127.0.0.1", 7000 + number),), (Server("one", Place(f"127.0.1.{number}", 11211)),),
+        (NamedProfile("read", READ), NamedProfile("mark", MARKED)), RuleFigures(S // 2, 0.2, 20 * S, 4.0, S), LIMITS,
+        (Share("school", 5.0),), (Key("main", bytes([number]) * 32, Scope.ADMINISTRATOR, 1),)), **terms)
+
+
+def made(*tenants: Tenant) -> Registry:
+    registry = Registry()
+    for one in tenants:
+        registry = registry.changed(Make(one))
+    return registry
+
+
+def test_versions_only_rise_and_a_tenant_made_again_is_another_one() -> None:
+    registry = made(tenant("sur"), tenant("norte", 2))
+    seen = [registry.version]
+    first = registry.tenants["sur"].incarnation
+    for change in (SetState("sur", State.SUSPENDED), SetState("sur", State.ACTIVE), SetState("sur", State.ENDING),
+                   Remove("sur"), Make(tenant("sur"))):
+        registry = registry.changed(change)
+        seen.append(registry.version)
+    assert seen == [2, 3, 4, 5, 6, 7]
+    assert registry.tenants["sur"].incarnation == 7 != first and registry.tenants["norte"].version == 2
+
+
+def test_a_change_meant_for_another_version_changes_nothing() -> None:
+    registry = made(tenant("sur"))
+    one = registry.changed(SetLimits("sur", replace(LIMITS, burst=7), meant=1))
+    with pytest.raises(Stale) as told:
+        one.changed(SetServers("sur", (), meant=1))
+    assert (told.value.meant, told.value.there) == (1, 2)
+    assert one.tenants["sur"].tenant.limits.burst == 7 and len(one.tenants["sur"].tenant.servers) == 1
+    assert registry.tenants["sur"].tenant.limits.burst == 50  # the value before is what it was
+
+
+UNFIT: list[tuple[Change, str]] = [
+    (Make(tenant("sur", 9)), "name"),
+    (Make(tenant("Ñandú", 9)), "name"),
+    (Make(tenant("x" * 49, 9)), "name"),
+    (Make(tenant("este", 9, listeners=())), "listeners"),
+    (Make(tenant("este", 9, listeners=(Place("127.0.0.1", 7001),))), "listeners[0]"),
+    (Make(tenant("este", 9, listeners=(Place("127.0.0.1", 7009),) * 2)), "listeners[1]"),
+    (Make(tenant("este", 9, listeners=(Place("127.0.1.1", 11211),))), "listeners[0]"),
+    (Make(tenant("este", 9, listeners=(Place("example.org", 1),))), "listeners[0].host"),
+    (Make(tenant("este", 9, listeners=(Place("127.0.0.1", 0),))), "listeners[0].port"),
+    (SetServers("sur", (Server("loop", Place("127.0.0.1", 7002)),)), "servers[0].place"),
+    (SetServers("sur", (Server("a", Place("127.0.1.8", 1)), Server("a", Place("127.0.1.9", 1)))), "servers[1]"),
+    (SetServers("sur", (Server("a", Place("127.0.1.8", 1)), Server("b", Place("127.0.1.8", 1)))), "servers[1]"),
+    (SetServers("sur", (Server("a", Place("127.0.1.8", 1), "", float("nan")),)), "servers[0].weight"),
+    (SetLimits("sur", replace(LIMITS, cpu=Guarantee(0.9, 1.0))), "limits.cpu.least"),
+    (SetLimits("sur", replace(LIMITS, memory=Guarantee(0.5, 0.4))), "limits.memory"),
+    (SetLimits("sur", replace(LIMITS, open_txs=0)), "limits.open_txs"),
+    (SetKeys("sur", (Key("k", b"\2" * 32, Scope.READER, 1),)), "keys[0]"),
+    (SetKeys("sur", (Key("k", b"short", Scope.READER, 1),)), "keys[0].digest"),
+    (SetKeys("sur", (Key("k", b"\5" * 32, Scope.OPERATOR, 1),)), "keys[0].scope"),
+    (SetKeys("sur", (Key("k", b"\5" * 32, Scope.READER, 5, 5),)), "keys[0].until"),
+    (Replace(tenant("sur", state=State.ENDING)), "state"),
+    (Replace(tenant("sur", profiles=())), "profiles"),
+    (Replace(tenant("sur", profiles=(NamedProfile("m", replace(MARKED, memory=0)),))), "profiles[0].memory"),
+    (Replace(tenant("sur", profiles=(NamedProfile("r", replace(READ, hard_limit=1)),))), "profiles[0].hard_limit"),
+    (Replace(tenant("sur", rules=RuleFigures(S, 1.5, S, 4.0, S))), "rules.cold_share"),
+    (Replace(tenant("sur", shares=(Share("a", 1.0),) * 2)), "shares[1]"),
+    (Remove("sur"), "state"),
+    (SetState("este", State.ACTIVE), "state"),
+]
+
+
+@pytest.mark.parametrize(("change", "field"), UNFIT, ids=lambda x: x if isinstance(x, str) else type(x).__name__)
+def test_what_does_not_fit_names_its_field_and_changes_nothing(change: Change, field: str) -> None:
+    registry = made(tenant("sur"), tenant("norte", 2))
+    if isinstance(change, SetState):
+        registry = registry.changed(Make(tenant("este", 3))).changed(SetState("este", State.ENDING))
+    before = dict(registry.tenants)
+    with pytest.raises(Unfit) as told:
+        registry.changed(change)
+    assert told.value.field == field and dict(registry.tenants) == before
+
+
+def test_two_tenants_may_name_one_machine_but_not_promise_more_than_there_is() -> None:
+    shared = (Server("same", Place("127.0.1.1", 11211)),)
+    registry = made(tenant("sur"), tenant("norte", 2, servers=shared), *(tenant(f"t{n}", n) for n in (3, 4, 5)))
+    with pytest.raises(Unfit) as told:
+        registry.changed(Make(tenant("sexto", 6)))
+    assert told.value.field == "limits.cpu.least" and "1.200 of the process" in told.value.why
+    freed = registry.changed(SetState("t5", State.ENDING)).changed(Remove("t5"))
+    assert "sexto" in freed.changed(Make(tenant("sexto", 6))).tenants
+
+
+def test_what_is_not_there_can_not_be_changed() -> None:
+    for change in (SetState("sur", State.ACTIVE), Remove("sur"), Replace(tenant("sur")), SetKeys("sur", ())):
+        with pytest.raises(NotThere):
+            Registry().changed(change)
