--- a/ternquay/rig/load.py
+++ b/ternquay/rig/load.py
@@ -150,7 +150,7 @@
         receipt = next((w[1:] for w in words[1:] if w[:1] == b"c"), b"")
         return "receipt", receipt.decode("latin-1"), id
     if words[:2] == [b"SERVER_ERROR", b"busy"]:
-        return "rolled-back", "", ""
+        return "rolled-back", b" ".join(words[2:]).decode("latin-1"), ""
     if line == b"SERVER_ERROR failed":
         return "abandoned", "", ""
     return "error", line[:80].decode("latin-1"), ""
--- a/ternquay/rig/records.py
+++ b/ternquay/rig/records.py
@@ -27,7 +27,7 @@
     alone: bool = False  # nothing else was owed on its connection as it was written
     ended: int = 0
     answer: str = "none"  # value, receipt, rolled-back, abandoned, error, closed, left, none
-    text: str = ""  # the stamp in the value or the receipt, or the line of an error
+    text: str = ""  # the stamp in the value or the receipt, the wait of a rollback in ms, or the line of an error
     answer_id: str = ""
     waited: int = 0  # when the answer before it on the connection came, 0 for none
 
