--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -82,7 +82,7 @@
         self.window: deque[int] = deque()
         self.key_counts: dict[int, int] = {}
         self.loads, self.counted = [0] * GROUPS, 0
-        self.at_load, self.least = [GROUPS] + [0] * (WINDOW + 1), 0  # how many groups have each load; the lowest
+        self.at_load, self.least = [GROUPS] + [0] * (WINDOW + 1), 0  # groups at each load; the lowest load
         self.changed: dict[int, None] = {}
         # What was measured: by profile, by tenant, and of all.
         self.usual_ttl = [0] * len(started.profiles)
