Places for a hosted front: reads in pieces, figures that change, a part of a cold host's budget

Need: many tenants on one loop want commands read a few at a time and no further than their end when over a limit, other profiles without a new decision module, sockets counted beside others', and one machine's cold budget shared between tenants that name it.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -60,11 +60,10 @@
 
 class Balancer:
     def __init__(self, started: m.Started) -> None:
-        self.start = started
+        self._figures(started)
         self.random = Random(started.seed)
         self.actions: list[m.Action] = []
         self.margin = started.quantum + 2 * MS
-        self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
         # Cache hosts, and for each group the order in which they stand for it.
         self.hosts: dict[int, CacheHost] = {}
         self.ready: list[CacheHost] = []
@@ -84,10 +83,7 @@
         self.loads, self.counted = [0] * GROUPS, 0
         self.at_load, self.least = [GROUPS] + [0] * (WINDOW + 1), 0  # groups at each load; the lowest load
         self.changed: dict[int, None] = {}
-        # What was measured: by profile, by tenant, and of all.
-        self.usual_ttl = [0] * len(started.profiles)
-        self.shares = [q / started.balancers for q in started.quotas]
-        self.share_left, self.share_at = [0.0] * len(self.shares), [0] * len(self.shares)
+        # What was measured of all.
         self.inflight, self.warm_sent, self.unit_rate, self.extra, self.failing = 0, 0, 0.0, EXTRA_MOST, 0.0
         self.usual, self.usual_at, self.rate, self.arrived, self.calm = 0.0, 0, 0.0, 0, 1e18
         # The origin: who waits for a place, what is out, where keys were last held.
@@ -96,11 +92,19 @@
         self.origin_cut = self.rest = self.rest_until = 0
         self.origin_limit, self.origin_took = ORIGIN_START / started.balancers, 0.0
         self.origin_least = ORIGIN_LEAST / started.balancers
-        self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
         self.held: dict[int, set[int]] = {}
         # How often a copy that we did not see is there all the same: the others of N brought it.
         self.hit_part = 1 - 1 / started.balancers
 
+    def _figures(self, started: m.Started) -> None:
+        # What is open keeps the profile that it was taken with; what was measured of machines stays.
+        self.start = started
+        self.shortest_goal = min((p.service_goal for p in started.profiles), default=SECOND)
+        self.origin_late = self.shortest_goal * (ORIGIN_LATE if started.aside else THROUGH_LATE)
+        self.usual_ttl = [0] * len(started.profiles)
+        self.shares = [q / started.balancers for q in started.quotas]
+        self.share_left, self.share_at = [0.0] * len(self.shares), [0] * len(self.shares)
+
     def decide(self, now: int, event: m.Event) -> list[m.Action]:
         self.now, self.actions = now, []
         if isinstance(event, m.TxArrived):
@@ -117,6 +121,8 @@
             self._list_changed(event)
         elif isinstance(event, m.ListLost):
             self._list_lost()
+        elif isinstance(event, m.Started):
+            self._figures(event)
         self._set_timer()
         return self.actions
 
@@ -158,7 +164,7 @@
         if line.since != host.cold_since:
             host.cold_since, host.cold_from = line.since, self.now
             host.cold_wait = mix(host.hash + self.start.number) / MASK
-        host.zone, host.cell, host.standing = line.zone, line.cell, line.standing
+        host.zone, host.cell, host.standing, host.part = line.zone, line.cell, line.standing, line.part
         weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
         if weight != host.weight:
             host.weight, self.ranked = weight, []
@@ -673,7 +679,7 @@
             sent.popleft()
         # Rule 4: as many as a warm cache host takes of us, times its warmth; the others do so with theirs.
         part = min(COLD_MARGIN, self.start.tip_multiple / 2) * warmth * host.weight
-        room = max(COLD_LEAST / self.start.balancers, part * self.unit_rate * span / SECOND)
+        room = host.part * max(COLD_LEAST / self.start.balancers, part * self.unit_rate * span / SECOND)
         # A part under one hop a window is one in several, the first at a time of our own; not one from each.
         if room < 1.0:
             return self.now >= host.cold_from + int(host.cold_wait * span / room)
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -58,7 +58,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Started:
-    """The instance starts, with what it is told of its deployment."""
+    """The instance starts, with what it is told of its deployment; later on, what it is told is another."""
 
     seed: int
     balancers: int
@@ -92,6 +92,7 @@
     standing: Standing
     hint: float
     since: int  # its latest start, 0 for long ago
+    part: float = 1.0  # of what it takes while cold, where others of this process send to it too
 
 
 @dataclass(slots=True, frozen=True)
@@ -136,7 +137,7 @@
     """The instance's one timer is due."""
 
 
-Event = ListChanged | ListLost | TxArrived | HopEnded | TxGone | TimerFired
+Event = ListChanged | ListLost | TxArrived | HopEnded | TxGone | TimerFired | Started
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -69,6 +69,7 @@
     standing: m.Standing
     hint: float
     since: int
+    part: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -263,7 +264,12 @@
             self.txs.pop(tx.id, None)
         self.happened(m.HopEnded(tx.id, hop.number, end, self.now() - hop.sent, tx.answered, note))
 
-    # ---- the list ----
+    # ---- figures and the list ----
+
+    def refigured(self, start: m.Started, names: Names, limits: Limits) -> None:
+        """Other profiles, rules or limits from now on; what is open ends by those that it was taken with."""
+        self.start, self.names, self.limits = start, names, limits
+        self.happened(start)
 
     def list_lost(self) -> None:
         self.happened(m.ListLost())
@@ -289,5 +295,5 @@
         return m.Listed(
             host=self.hosts[member.id], address=member.id,
             zone=self.names.zones.get(member.zone, -1), kind=self.names.kinds.get(member.kind, -1),
-            cell=member.cell, standing=member.standing, hint=member.hint, since=member.since,
+            cell=member.cell, standing=member.standing, hint=member.hint, since=member.since, part=member.part,
         )
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -20,10 +20,10 @@
 class Owed:
     """One answer that a client waits for, in its place among the others."""
 
-    __slots__ = ("client", "command", "text", "tx")
+    __slots__ = ("client", "command", "door", "text", "tx")
 
     def __init__(self, client: "ClientConnection", command: meta.Command) -> None:
-        self.client, self.command = client, command
+        self.client, self.command, self.door = client, command, client.front.door
         self.text: bytes | None = None
         self.tx = -1
 
@@ -38,6 +38,7 @@
 
     def put(self, text: bytes) -> None:
         self.text = text
+        self.client.owes_less()
         if not self.client.reading:
             self.client.flush()
 
@@ -67,29 +68,39 @@
         owed, self.owed = self.owed, deque()
         for one in owed:
             if isinstance(one, Owed) and one.text is None:
-                self.front.door.gone(one.tx)
+                one.door.gone(one.tx)
 
     def rawDataReceived(self, data: bytes) -> None:
         if self.ended or self.closing:
             return
         self.front.busy(self)
+        self.read(self.machine.feed(data))
+
+    def read(self, items: "list[meta.Item]") -> None:
+        """Takes what was read, and writes what is answered by then."""
         self.reading = True
-        for item in self.machine.feed(data):
+        for item in items:
             if isinstance(item, meta.Command):
                 self.taken(item)
             elif isinstance(item, meta.Hello):
                 self.owed.append(meta.HELLO)
+            elif isinstance(item, meta.Over):
+                self.owed.append(meta.rolled_back(item.wait // MS))
             else:
                 self.owed.append(item.line + b"\r\n")
                 self.closing = self.closing or item.fatal
         self.reading = False
         self.since = 0
         self.moved = self.front.door.now()
+        self.keep()
+        self.flush()
+
+    def keep(self) -> None:
+        """Counts what is kept unread."""
         self.front.kept += len(self.machine.buffer) - self.kept
         self.kept = len(self.machine.buffer)
         if self.front.kept > self.front.limits.held:
-            self.abort()
-        self.flush()
+            self.front.shed_kept(self)
 
     def taken(self, command: meta.Command) -> None:
         owed = Owed(self, command)
@@ -102,13 +113,23 @@
         if self.crowded or len(self.owed) > self.front.limits.pipelined or late:
             owed.roll_back(self.front.limits.come_again)
             return
-        names, left = command.names, max(0, command.ttl_ms * MS - turn.unread(now, self.since))
-        arrival = Arrival(names["c"], names.get("tenant", ""), command.key.decode("latin-1"),
+        self.arrives(command, owed, turn.unread(now, self.since))
+
+    def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
+        names, left = command.names, max(0, command.ttl_ms * MS - unread)
+        arrival = Arrival(names["c"], self.share(command), command.key.decode("latin-1"),
                           left, names.get("r") == "1", command.write, command)
         owed.tx = self.front.door.arrived(arrival, owed)
         if owed.tx < 0:
             owed.put(b"CLIENT_ERROR unknown profile\r\n")
 
+    def share(self, command: meta.Command) -> str:
+        """The name of the share of whoever asks."""
+        return command.names.get("tenant", "")
+
+    def owes_less(self) -> None:
+        """One more is answered, though maybe not written yet."""
+
     def flush(self) -> None:
         """Writes what is answered, up to the first that is not."""
         while self.owed and not self.ended:
@@ -194,7 +215,7 @@
             return
         self.all.discard(client)
         self.busy(client)
-        self.sockets.clients -= 1
+        self.sockets.client_left()
         self.queued -= client.queued
         self.kept -= client.kept
         if self.held_up and not self.sockets.full():
@@ -231,13 +252,20 @@
         self.left(client)
         return True
 
+    def shed_kept(self, client: ClientConnection) -> None:
+        """More is kept of half-read commands than there is room for."""
+        client.abort()
+
     def sweep(self) -> None:
+        self.swept()
+        self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
+
+    def swept(self) -> None:
         """Closes clients that take up room and do not go on."""
         for client in [c for c in self.all if c.stalled()]:
             client.abort()
         if self.held_up:
             self.shed()
-        self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
 
     def leave(self) -> None:
         """From now on connections are closed between transactions."""
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -7,7 +7,9 @@
 """
 
 import re
+import sys
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from ternquay import model as m
@@ -63,6 +65,16 @@
     fatal: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Over:
+    """A command that was read no further than where it ends: whoever wrote it is over a limit."""
+
+    wait: int  # until it is not, in nanoseconds
+
+
+Item = Command | Hello | Bad | Over
+
+
 @dataclass(slots=True, frozen=True)
 class Answer:
     end: m.End
@@ -143,17 +155,25 @@
     line_most: int
     value_most: int
     buffer: bytearray = field(default_factory=bytearray)
-    wanted: Command | Bad | None = None  # a write whose value is still to come
+    wanted: Command | Bad | Over | None = None  # a write whose value is still to come
     length: int = 0
     dead: bool = False
-
-    def feed(self, data: bytes) -> list[Command | Hello | Bad]:
-        found: list[Command | Hello | Bad] = []
-        if self.dead:
-            return found
-        self.buffer += data
-        at = 0
-        while not self.dead:
+    over: Callable[[], int] | None = None
+
+    def feed(self, data: bytes) -> list[Item]:
+        self.add(data)
+        return self.read()
+
+    def add(self, data: bytes) -> None:
+        if not self.dead:
+            self.buffer += data
+
+    def read(self, most: int = sys.maxsize, over: Callable[[], int] | None = None) -> list[Item]:
+        """The next `most` commands that are whole. `over` is asked before each is read further than its end: if
+        it tells a time to wait, no more than that is found of it."""
+        found: list[Item] = []
+        at, self.over = 0, over
+        while not self.dead and len(found) < most:
             step = self._value(at, found) if self.wanted is not None else self._line(at, found)
             if step < 0:
                 break
@@ -168,12 +188,16 @@
         """Nothing of a command has come."""
         return not self.buffer and self.wanted is None
 
-    def _fatal(self, line: bytes, found: list[Command | Hello | Bad]) -> int:
+    def _fatal(self, line: bytes, found: list[Item]) -> int:
         found.append(Bad(line, True))
         self.dead = True
         return -1
 
-    def _line(self, at: int, found: list[Command | Hello | Bad]) -> int:
+    def _words(self, words: list[bytes]) -> Command | Bad | Over:
+        wait = self.over() if self.over is not None else 0
+        return Over(wait) if wait else read_command(words)
+
+    def _line(self, at: int, found: list[Item]) -> int:
         end = line_end(self.buffer, at, self.line_most)
         if end < 0:
             return self._fatal(b"CLIENT_ERROR line too long", found) if end == -2 else -1
@@ -182,7 +206,7 @@
         if verb == b"mn":
             found.append(Hello())
         elif verb == b"mg":
-            found.append(read_command(words))
+            found.append(self._words(words))
         elif verb == b"ms":
             length = length_of(words[2]) if len(words) > 2 else -1
             # Without the length there is no telling where the next command begins.
@@ -190,12 +214,13 @@
                 return self._fatal(b"CLIENT_ERROR bad length", found)
             if length > self.value_most:
                 return self._fatal(b"SERVER_ERROR object too large for cache", found)
-            self.wanted, self.length = read_command(words), length
+            self.wanted, self.length = self._words(words), length
         else:
-            found.append(Bad(b"ERROR"))
+            wait = self.over() if self.over is not None else 0
+            found.append(Over(wait) if wait else Bad(b"ERROR"))
         return end + 2
 
-    def _value(self, at: int, found: list[Command | Hello | Bad]) -> int:
+    def _value(self, at: int, found: list[Item]) -> int:
         end = value_end(self.buffer, at, self.length)
         if end < 0:
             return self._fatal(b"CLIENT_ERROR bad data chunk", found) if end == -2 else -1
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -262,7 +262,7 @@
     def _dial(self, place: HostPlace) -> HostConnection:
         connection = HostConnection(self, place)
         place.all[connection] = None
-        self.sockets.hosts += 1
+        self.sockets.host_opened()
         self.reactor.connectTCP(place.address.host, place.address.port, Dialer(connection),
                                 timeout=self.limits.dial / SECOND)
         return connection
@@ -278,7 +278,7 @@
         place = connection.host
         if connection in place.all:
             del place.all[connection]
-            self.sockets.hosts -= 1
+            self.sockets.host_closed()
             self.kept -= connection.kept
             self._forget(place)
         if connection in place.idle:
@@ -298,9 +298,12 @@
         return True
 
     def sweep(self) -> None:
+        self.swept()
+        self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
+
+    def swept(self) -> None:
         """Closes what stands idle before the cache host may: a write that crosses that is lost."""
         before = self.door.now() - self.limits.idle
         for place in list(self.places.values()):
             while place.idle and place.idle[0].idle_since <= before:
                 place.idle[0].retire()
-        self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
--- a/ternquay/net/sockets.py
+++ b/ternquay/net/sockets.py
@@ -17,6 +17,19 @@
     def _all(self) -> int:
         return self.clients + self.hosts
 
+    def room(self) -> int:
+        """For clients and cache hosts together, without the spare."""
+        return self.limits.sockets
+
+    def client_left(self) -> None:
+        self.clients -= 1
+
+    def host_opened(self) -> None:
+        self.hosts += 1
+
+    def host_closed(self) -> None:
+        self.hosts -= 1
+
     def _shed(self) -> bool:
         # A connection to a cache host goes first: to close a client's may cross what it sends.
         return self.shed_host() or self.shed_client()
@@ -24,7 +37,7 @@
     def client_came(self) -> bool:
         """Counts a client; whether there is room to serve it."""
         self.clients += 1
-        room = self.limits.sockets
+        room = self.room()
         if self.clients > self.limits.clients:
             self.shed_client()
         elif self._all() > room:
@@ -33,12 +46,12 @@
 
     def full(self) -> bool:
         """Whether not even a client that is only told so fits: then no more are accepted."""
-        return self._all() >= self.limits.sockets + self.limits.spare
+        return self._all() >= self.room() + self.limits.spare
 
     def left(self) -> int:
         """How many clients fit that are at least told that it is full."""
-        return self.limits.sockets + self.limits.spare - self._all()
+        return self.room() + self.limits.spare - self._all()
 
     def may_open(self) -> bool:
         """Whether one more connection to a cache host may be opened."""
-        return self._all() < self.limits.sockets or self._shed()
+        return self._all() < self.room() or self._shed()
