--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -32,9 +33,39 @@
         run(read_launch(config))
 
 
+@contextmanager
+def service_in_a_line() -> Iterator[None]:
+    """The same for the file of a hosted service, with what that wants to be installed."""
+    try:
+        yield
+    except ImportError as fault:
+        typer.echo(f"ternquay: {fault.name} is not installed; a hosted service wants requirements-hosted.txt", err=True)
+        raise typer.Exit(2) from fault
+    except ValueError as fault:
+        typer.echo(f"ternquay: {fault}", err=True)
+        raise typer.Exit(2) from fault
+
+
+@app.command()
+def host(config: Annotated[str, typer.Option("--config", help="The service's file.")] = "deploy/service.toml") -> None:
+    """Serve many tenants until SIGTERM (docs/hosted-use.md)."""
+    with service_in_a_line():
+        from ternquay.hosted.host import run  # `serve` must not load any of it
+        from ternquay.hosted.service import read_service
+        run(read_service(Path(config)))
+
+
 @app.command()
 def check(config: File = "") -> None:
-    """Read a configuration and say what it holds, without listening."""
+    """Read a configuration, or the .toml file of a hosted service, and say what it holds, without listening."""
+    if config.endswith(".toml"):
+        with service_in_a_line():
+            from ternquay.hosted.service import read_service
+            service = read_service(Path(config))
+        typer.echo(f"{service.name}: {len(service.registry.tenants)} tenants, "
+                   f"{'a store' if service.store else 'no store'}, "
+                   f"{'an API' if service.api else 'no API'}, {service.process.sockets} sockets")
+        return
     with told_in_a_line():
         launch = read_launch(config)
     typer.echo(f"{launch.name}: listens on {launch.listen}, "
@@ -54,6 +85,15 @@
     commands(args=context.args, prog_name="ternquay rig")
 
 
+@app.command("admin", add_help_option=False,
+             context_settings={"allow_extra_args": True, "ignore_unknown_options": True})
+def admin(context: typer.Context) -> None:
+    """The administration API of a hosted service."""
+    with service_in_a_line():
+        from ternquay.hosted.admin import app as commands
+    commands(args=context.args, prog_name="ternquay admin")
+
+
 @app.command("version")
 def tell_version() -> None:
     """Print the version."""
--- /dev/null
+++ b/ternquay/hosted/changes.py
@@ -0,0 +1,263 @@
+"""Carries out the API's calls: one change at a time, stored, applied, then answered.
+
+    keeper.call(call)      # -> a Deferred of the Reply; it never fails
+
+What is acknowledged is on disk. While the disk is at work the loop goes on; changes wait in their order, a bounded
+number of them.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from hashlib import sha256
+from typing import Any, Protocol
+
+import orjson
+from loguru import logger
+from twisted.internet.defer import Deferred, inlineCallbacks, maybeDeferred, succeed
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.threadpool import ThreadPool
+
+from ternquay.hosted.api import Api, Call, Look, Proposal, Reply, problem, tag
+from ternquay.hosted.registry import Registry, Remove
+from ternquay.hosted.store import Answered, Commit, Logged, Noted, Store, StoreError
+from ternquay.hosted.tenant import Unfit
+
+SECOND = 1_000_000_000
+WAITING_MOST, WATCHES_MOST, NOTES_MOST = 64, 64, 1000
+NOTE_EVERY = 0.25
+KEY_MOST = 255
+REPEATED = (404, 409, 412, 422)
+SERVICE = "service"  # who makes the changes that nobody asked for
+
+
+class Applier(Protocol):
+    """Whoever runs the tenants."""
+
+    registry: Registry
+
+    def prepare(self, registry: Registry, tenant: str) -> Any: ...
+
+    def apply(self, registry: Registry, tenant: str, prepared: Any) -> None: ...
+
+    def process(self) -> dict[str, Any]: ...
+
+
+class Stored:
+    """The store in its own thread, as each sync of the disk would stop the loop."""
+
+    def __init__(self, reactor: Any, store: Store) -> None:
+        self.reactor, self.store = reactor, store
+        self.threads = ThreadPool(1, 1, "store")
+        self.threads.start()
+
+    def do(self, what: Callable[..., Any], *terms: Any) -> "Deferred[Any]":
+        return deferToThreadPool(self.reactor, self.threads, what, *terms)
+
+    def end(self) -> None:
+        """Waits for what is being written."""
+        self.threads.stop()
+        self.store.close()
+
+
+class Keeper:
+    def __init__(self, reactor: Any, api: Api, applier: Applier, stored: Stored, clock: Callable[[], int]) -> None:
+        self.reactor, self.api, self.applier, self.stored, self.clock = reactor, api, applier, stored, clock
+        self.waiting: deque[tuple[Call | Remove, Deferred[Reply]]] = deque()
+        self.busy = False
+        self.watches: list[Deferred[None]] = []
+        self.notes: dict[tuple[str, str, str, int, str], Noted] = {}
+        self.noting = self.ended = False
+
+    # ---- calls ----
+
+    def call(self, call: Call) -> "Deferred[Reply]":
+        """Answers a call; denied ones go to the audit log."""
+        outcome = self.api.handle(call, self.applier.registry, self.clock())
+        if isinstance(outcome, Look):
+            return self._guarded(self._looked, outcome)
+        if isinstance(outcome, Reply):
+            if outcome.status in (401, 403):
+                self.note(call, outcome)
+            # A repeated call finds things as it left them, and is to be answered as it was then.
+            if outcome.status not in REPEATED or "idempotency-key" not in call.headers:
+                return succeed(outcome)
+        if len(self.waiting) >= WAITING_MOST:
+            return succeed(problem(503, "too many changes wait", headers={"retry-after": "1"}))
+        return self._queued(call)
+
+    def remove(self, name: str) -> "Deferred[Reply]":
+        """A tenant that was ending has nothing open any more."""
+        return self._queued(Remove(name))
+
+    def _queued(self, what: Call | Remove) -> "Deferred[Reply]":
+        done: Deferred[Reply] = Deferred()
+        self.waiting.append((what, done))
+        self._next()
+        return done
+
+    def _next(self) -> None:
+        if self.busy or not self.waiting or self.ended:
+            return
+        self.busy = True
+        what, done = self.waiting.popleft()
+
+        def over(reply: Reply) -> None:
+            self.busy = False
+            done.callback(reply)
+            self._next()
+
+        carry = self._removed if isinstance(what, Remove) else self._carried
+        self._guarded(carry, what).addCallback(over)
+
+    def _guarded(self, what: Callable[..., Any], *terms: Any) -> "Deferred[Reply]":
+        """Whatever goes wrong is one call's fault and answered."""
+
+        def fault(failure: Any) -> Reply:
+            if failure.check(StoreError):
+                logger.bind(cause=str(failure.value)).error("the store takes no changes")
+                return problem(507, "the change could not be stored, and was not made")
+            if failure.check(Unfit):
+                return problem(422, failure.value.why, failure.value.field)
+            logger.error("a call failed: {}", failure.getTraceback())
+            return problem(500, "a fault of the program; it is in its log")
+
+        return maybeDeferred(what, *terms).addErrback(fault)
+
+    # ---- changes ----
+
+    @inlineCallbacks
+    def _carried(self, call: Call) -> Any:
+        now = self.clock()
+        if self.ended:
+            return problem(503, "the service ends", headers={"retry-after": "1"})
+        outcome = self.api.handle(call, self.applier.registry, now)  # as things stand by now
+        key = call.headers.get("idempotency-key", "")
+        if key and isinstance(outcome, Proposal | Reply):
+            again = yield self._repeated(call, key)
+            if again is not None:
+                return again
+        if not isinstance(outcome, Proposal):
+            return outcome
+        who, before = str(outcome.who), self.applier.registry
+        after = before.changed(outcome.change)
+        reply = outcome.reply(after)
+        answered = None
+        if key:
+            body = {name: value for name, value in reply.body.items() if name != "token"}
+            answered = Answered(who, _digest(key), _asked(call), reply.status, after.version, orjson.dumps(body))
+        noted = Noted(now, who, call.peer, f"{call.method} {call.path}", reply.status, outcome.kind)
+        logged = Logged(after.version, now, who, outcome.tenant, outcome.kind, orjson.dumps(outcome.detail))
+        commit = Commit(logged, after.tenants.get(outcome.tenant), answered, noted)
+        yield from self._made(after, outcome.tenant, commit)
+        return reply
+
+    def _made(self, after: Registry, tenant: str, commit: Commit) -> Any:
+        """Stored first, then applied; what could stand against it is found out before."""
+        prepared = self.applier.prepare(after, tenant)
+        try:
+            yield self.stored.do(self.stored.store.commit, commit)
+        except BaseException:
+            prepared.drop()
+            raise
+        self.applier.apply(after, tenant, prepared)
+        logged = commit.logged
+        logger.bind(tenant=tenant, version=logged.version, who=logged.who, kind=logged.kind).info("changed")
+        self._news()
+
+    @inlineCallbacks
+    def _removed(self, change: Remove) -> Any:
+        after = self.applier.registry.changed(change)
+        logged = Logged(after.version, self.clock(), SERVICE, change.name, "gone", b"{}")
+        yield from self._made(after, change.name, Commit(logged, None))
+        return Reply(200, {})
+
+    @inlineCallbacks
+    def _repeated(self, call: Call, key: str) -> Any:
+        """The answer that the call had before, if it had one."""
+        if len(key) > KEY_MOST or not key.isascii() or not key.isprintable():
+            return problem(400, f"up to {KEY_MOST} printable characters are wanted", "Idempotency-Key")
+        who = str(self.api.identified(call, self.applier.registry, self.clock()))
+        found: Answered | None = yield self.stored.do(self.stored.store.answered, who, _digest(key))
+        if found is None:
+            return None
+        if found.asked != _asked(call):
+            return problem(422, "was used for another call", "Idempotency-Key")
+        headers = {**tag(found.version), "idempotency-replayed": "true"}
+        return Reply(found.status, orjson.loads(found.body), headers)
+
+    # ---- logs ----
+
+    @inlineCallbacks
+    def _looked(self, look: Look) -> Any:
+        if look.what == "process":
+            return Reply(200, self.applier.process())
+        if look.what == "audit":
+            rows = yield self.stored.do(self.stored.store.audit, look.after, look.most)
+            lines = [{"id": id, "at_ms": one.at // 1_000_000, "who": one.who, "peer": one.peer, "call": one.call,
+                      "status": one.status, "why": one.why, "many": one.many} for id, one in rows]
+            return Reply(200, {"audit": lines})
+        until = self.clock() + look.wait
+        while True:
+            changes = yield self.stored.do(self.stored.store.changes, look.after, look.most, look.tenant)
+            left = until - self.clock()
+            if changes or left <= 0 or len(self.watches) >= WATCHES_MOST or self.ended:
+                break
+            yield self._new(left)
+        lines = [{"version": one.version, "at_ms": one.at // 1_000_000, "who": one.who, "tenant": one.tenant,
+                  "kind": one.kind, "detail": orjson.loads(one.body)} for one in changes]
+        return Reply(200, {"changes": lines, "version": self.applier.registry.version})
+
+    def _new(self, most: int) -> "Deferred[None]":
+        """Until something was changed, or so long."""
+        news: Deferred[None] = Deferred()
+        self.watches.append(news)
+        timer = self.reactor.callLater(most / SECOND, news.callback, None)
+
+        def over(told: None) -> None:
+            if timer.active():
+                timer.cancel()
+            if news in self.watches:
+                self.watches.remove(news)
+
+        return news.addCallback(over)
+
+    def _news(self) -> None:
+        for news in list(self.watches):
+            news.callback(None)
+
+    def note(self, call: Call, reply: Reply) -> None:
+        """A denied call goes to the audit log; those that are alike and come at once make one line."""
+        who = call.headers.get("authorization", "").partition(".")[2].rpartition(".")[0][:100]
+        key = (who, call.peer, f"{call.method[:10]} {call.path[:200]}", reply.status, reply.why)
+        if key not in self.notes and len(self.notes) >= NOTES_MOST:
+            key = ("", "", "many calls", reply.status, "more kinds of denied calls than are kept apart")
+        old = self.notes.get(key)
+        self.notes[key] = Noted(self.clock(), *key, (old.many if old else 0) + 1)
+        if not self.noting:
+            self.noting = True
+            self.reactor.callLater(NOTE_EVERY, self._write_notes)
+
+    def _write_notes(self) -> None:
+        self.noting = False
+        notes, self.notes = list(self.notes.values()), {}
+        if notes and not self.ended:
+            self.stored.do(self.stored.store.note, notes).addErrback(
+                lambda failure: logger.error("denied calls could not be noted: {}", failure.value))
+
+    def end(self) -> None:
+        """No further change is begun; what waits is told so."""
+        self.ended = True
+        if self.notes:
+            self.stored.do(self.stored.store.note, list(self.notes.values())).addErrback(lambda failure: None)
+        waiting, self.waiting = self.waiting, deque()
+        for _, done in waiting:
+            done.callback(problem(503, "the service ends", headers={"retry-after": "1"}))
+        self._news()
+
+
+def _digest(text: str) -> bytes:
+    return sha256(text.encode()).digest()
+
+
+def _asked(call: Call) -> bytes:
+    return sha256(b"\0".join((call.method.encode(), call.path.encode(), call.body))).digest()
--- /dev/null
+++ b/ternquay/hosted/front.py
@@ -0,0 +1,281 @@
+"""Client connections of one tenant on the shared loop: read in pieces, in turn, as far as its limits have room."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import connectionDone
+from twisted.internet.tcp import Port
+from twisted.python.failure import Failure
+
+from ternquay.hosted.fairness import Dues, Lent
+from ternquay.hosted.loop import Loop
+from ternquay.net import meta
+from ternquay.net.door import Door
+from ternquay.net.front import ClientConnection, Front, Owed
+from ternquay.net.limits import Limits
+from ternquay.net.sockets import Sockets
+from ternquay.net.turn import Turn
+
+PIECE = 16  # commands in one piece of work
+BACKLOG = 16 << 10  # bytes that wait unread on one connection before no more are read from it
+OWED_MOST = 1024  # answers that one connection waits for before no more is read from it
+OPEN_LEAST, OPEN_TIMES = 8, 1.5  # a client with more open than this, and than that many parts, crowds others
+OWN_LEAST, OWN_TIMES = 16, 4.0  # the same of one connection
+CROWDING = "\0"  # the share of who crowds others; no name on the wire is like it
+ACCEPTS = "\0"  # the client in whose turns a tenant's new connections are accepted
+
+
+class TenantSockets(Sockets):
+    """Counts one tenant's sockets, and all tenants' together."""
+
+    def __init__(self, limits: Limits, name: str, lent: Lent, hosts_most: int) -> None:
+        super().__init__(limits)
+        self.name, self.lent, self.hosts_most = name, lent, hosts_most
+
+    def room(self) -> int:
+        return min(self.limits.sockets, self.lent.room(self.name))
+
+    def client_came(self) -> bool:
+        self.lent.count(self.name, 1)
+        return super().client_came()
+
+    def client_left(self) -> None:
+        self.lent.count(self.name, -1)
+        super().client_left()
+
+    def host_opened(self) -> None:
+        self.lent.count(self.name, 1)
+        super().host_opened()
+
+    def host_closed(self) -> None:
+        self.lent.count(self.name, -1)
+        super().host_closed()
+
+    def may_open(self) -> bool:
+        return self.hosts < self.hosts_most and super().may_open()
+
+
+class TenantClient(ClientConnection):
+    """Reads at once while nobody waits; else it waits for its turn, and stops reading when it has much."""
+
+    front: "TenantFront"
+
+    def __init__(self, front: "TenantFront") -> None:
+        super().__init__(front)
+        self.address = ""
+        self.open = 0  # transactions
+        self.waits = self.paused = self.stuck = False
+        self.unread_since = 0  # since when the oldest that is not read may be here
+        self.paused_at = 0
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        for one in self.owed:
+            if isinstance(one, Owed) and one.text is None:
+                self.owes_less(one)
+        super().connectionLost(reason)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self.ended or self.closing:
+            return
+        front = self.front
+        if not self.unread_since:
+            self.unread_since = self.since or front.turn.before
+        self.machine.add(data)
+        if self.waits or self.stuck:
+            self.keep()
+            self.hold_back()
+        elif front.loop.at_once(front.name):
+            if front.loop.timed(front.name, self.piece):
+                self.wait()
+        else:
+            self.wait()
+
+    def wait(self) -> None:
+        self.waits = True
+        self.keep()
+        self.hold_back()
+        self.front.loop.ready(self.front.name, self.address, self)
+
+    def hold_back(self) -> None:
+        if not self.paused and not self.ended and (len(self.machine.buffer) > BACKLOG or self.stuck):
+            self.paused, self.paused_at = True, self.front.door.now()
+            self.transport.pauseProducing()
+
+    def piece(self) -> bool:
+        self.waits = False
+        if self.ended or self.closing:
+            return False
+        self.since = self.unread_since
+        self.front.busy(self)
+        items = self.machine.read(PIECE, self.over)
+        self.read(items)
+        if self.ended or self.closing:
+            return False
+        if len(self.owed) > OWED_MOST:
+            self.stuck = True
+            self.hold_back()
+            return False
+        self.waits = len(items) == PIECE
+        if not self.waits:
+            self.read_all()
+        return self.waits
+
+    def read_all(self) -> None:
+        """All that is whole was read. What lies in the system's buffer may be as old as this pause."""
+        self.unread_since = 0
+        if self.paused:
+            self.paused = False
+            self.unread_since = self.paused_at
+            self.transport.resumeProducing()
+
+    def over(self) -> int:
+        return self.front.over(self)
+
+    def flush(self) -> None:
+        super().flush()
+        if self.stuck and len(self.owed) < OWED_MOST // 2 and not self.ended:
+            self.stuck = False
+            self.waits = True
+            self.front.loop.ready(self.front.name, self.address, self)
+
+    # ---- transactions ----
+
+    def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
+        if self.front.full(self):
+            owed.roll_back(self.front.limits.come_again)
+            return
+        owed.counted = True
+        self.open += 1
+        self.front.opened(self)
+        super().arrives(command, owed, unread)
+
+    def share(self, command: meta.Command) -> str:
+        return CROWDING if self.front.crowds(self) else command.names.get("tenant", "")
+
+    def owes_less(self, owed: Owed) -> None:
+        if owed.counted:
+            owed.counted = False
+            self.open -= 1
+            self.front.closed(self)
+
+
+class TenantFront(Front):
+    """`shut`: nought, or how long what comes is told to wait, as the tenant takes nothing now."""
+
+    def __init__(self, reactor: Any, door: Door, limits: Limits, sockets: Sockets, turn: Turn, loop: Loop, name: str,
+                 dues: Dues) -> None:
+        super().__init__(reactor, door, limits, sockets, turn)
+        self.loop, self.name, self.dues = loop, name, dues
+        self.by_address: dict[str, dict[TenantClient, None]] = {}
+        self.shut = self.open_most = self.busy_clients = 0
+
+    def buildProtocol(self, addr: Any) -> TenantClient:
+        client = TenantClient(self)
+        client.address = addr.host
+        return client
+
+    # ---- connections ----
+
+    def came(self, client: ClientConnection) -> None:
+        assert isinstance(client, TenantClient)
+        mine = self.by_address.get(client.address, {})
+        if self.sockets.clients >= self.limits.clients and not self._make_room(len(mine)):
+            client.abort()
+            return
+        self.by_address.setdefault(client.address, mine)[client] = None
+        super().came(client)
+
+    def _make_room(self, mine: int) -> bool:
+        """All places are taken: whoever has most of them loses one, unless that is who comes."""
+        address = max(self.by_address, key=lambda a: len(self.by_address[a]), default="")
+        many = self.by_address.get(address, {})
+        if mine + 1 >= len(many):
+            return False
+        victim = next((client for client in many if not client.owed and not client.queued), None)
+        if victim is None:
+            return False
+        self.drop(victim)
+        return True
+
+    def drop(self, client: ClientConnection) -> None:
+        """Closes it now, and counts it no longer."""
+        client.abort()
+        self.left(client)
+        client.queued = client.kept = 0
+
+    def left(self, client: ClientConnection) -> None:
+        if client in self.all and isinstance(client, TenantClient):
+            mine = self.by_address.get(client.address, {})
+            mine.pop(client, None)
+            if not mine:
+                self.by_address.pop(client.address, None)
+            self.loop.drop(self.name, client.address, client)
+        super().left(client)
+
+    def give_back(self, many: int) -> None:
+        """Places that were lent are wanted back: what rests goes first, then what only takes up room."""
+        idle = [client for client in self.resting if client.answered]
+        half = [client for client in self.all if not client.owed and not client.queued and client not in self.resting]
+        fresh = [client for client in self.resting if not client.answered]
+        for client in (idle + half + fresh)[:many]:
+            self.drop(client)
+
+    def shed_kept(self, client: ClientConnection) -> None:
+        # Not whoever comes last, but whoever has most.
+        self.drop(max(self.all, key=lambda one: one.kept))
+
+    # ---- transactions ----
+
+    def over(self, client: TenantClient) -> int:
+        """Nought, or how long its next command is told to wait, without being read."""
+        return self.shut or self.dues.take(self.door.now(), client.address)
+
+    def full(self, client: TenantClient) -> bool:
+        """Whether the tenant has as many open as it may, and this client its part of them."""
+        mine = self.dues.clients.get(client.address)
+        return self.dues.open >= self.open_most and (mine is None or mine.open >= self.dues.part(self.open_most))
+
+    def crowds(self, client: TenantClient) -> bool:
+        """Whether it has so much open that what it adds may not make others wait."""
+        if client.open > max(OWN_LEAST, OWN_TIMES * self.dues.open / max(1, self.busy_clients)):
+            return self.busy_clients > 1
+        return self.dues.crowds(client.address, OPEN_LEAST, OPEN_TIMES)
+
+    def opened(self, client: TenantClient) -> None:
+        self.dues.opened(client.address)
+        self.busy_clients += client.open == 1
+
+    def closed(self, client: TenantClient) -> None:
+        self.dues.closed(client.address)
+        self.busy_clients -= client.open == 0
+
+
+class TenantListener(Port):
+    """Accepts in its tenant's turns when others wait; up to as many as fit."""
+
+    front: TenantFront
+    accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
+    numberAccepts = property(lambda self: self.front.room(), lambda self, count: None)
+    paused = False
+
+    def doRead(self) -> None:
+        if self.front.loop.at_once(self.front.name):
+            self.front.loop.timed(self.front.name, self._accept)
+        else:
+            self.stopReading()
+            if not self.paused:
+                self.paused = True
+                self.front.loop.ready(self.front.name, ACCEPTS, self)
+
+    def piece(self) -> bool:
+        self.paused = False
+        if self.connected and not self.disconnecting:
+            self._accept()
+            if not self.front.held_up:
+                self.startReading()
+        return False
+
+    def _accept(self) -> None:
+        most, before = self.front.room(), self.sessionno
+        super().doRead()
+        self.accepted(self.sessionno - before >= most)
--- /dev/null
+++ b/ternquay/hosted/host.py
@@ -0,0 +1,351 @@
+"""The process of a hosted service: all tenants on one loop, changed one step at a time, ended in order."""
+
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+from twisted.internet.main import installReactor
+from twisted.logger import globalLogPublisher
+
+from ternquay.hosted import logs
+from ternquay.hosted.fairness import Lent
+from ternquay.hosted.fairness import Part as LentPart
+from ternquay.hosted.ledger import Ledger
+from ternquay.hosted.loop import Loop
+from ternquay.hosted.registry import Change, Make, NotThere, Registry, Remove, Replace, SetState, Stale
+from ternquay.hosted.service import Service, ServiceError, read_service
+from ternquay.hosted.tenancy import Common, Prepared, Tenancy, bound
+from ternquay.hosted.tenant import Guarantee, State, Tenant, Unfit
+from ternquay.net.limits import MS, SECOND
+from ternquay.net.serve import MonotonicReactor, pass_on
+from ternquay.net.turn import Turn
+
+SWEEP = 100 * MS
+WEIGHT_LEAST = 0.001  # of a tenant that was promised nothing
+OWN_DESCRIPTORS = 32  # standard streams, poll, wake-up, store, listeners of the API and a spare
+
+
+class Host:
+    """Runs the tenants of a registry; whoever changes it calls prepare() first and apply() once it is stored."""
+
+    def __init__(self, reactor: Any, service: Service, registry: Registry) -> None:
+        self.reactor, self.service, self.registry = reactor, service, registry
+        self.turn = Turn(SECOND)
+        self.loop = Loop(reactor, lambda: int(reactor.seconds() * SECOND), self.turn)
+        self.lent = Lent(max(16, service.process.sockets - OWN_DESCRIPTORS))
+        self.memory = service.process.memory_mb << 20
+        self.common = Common(reactor, service.process, self.loop, Ledger(), self.lent,
+                             time.time_ns() - int(reactor.seconds() * SECOND), self._retell)
+        self.tenancies: dict[str, Tenancy] = {}
+        self.by_id: dict[str, Tenancy] = {}
+        self.removing: set[str] = set()
+        self.remove: Callable[[str], Any] = self._removed_here
+        self.began, self.ending, self.stopped = reactor.seconds(), False, False
+        self.told: set[str] = set()
+
+    # ---- beginning ----
+
+    def begin(self) -> None:
+        """Raises Unfit where a listener can't be bound."""
+        prepared = {}
+        for name, entry in self.registry.tenants.items():
+            try:
+                places = () if entry.tenant.state is State.ENDING else entry.tenant.listeners
+                prepared[name] = bound(self.reactor, places)
+            except Unfit as fault:
+                for one in prepared.values():
+                    one.drop()
+                raise Unfit(f"tenants.{name}.{fault.field}", fault.why) from fault
+        for name in self.registry.tenants:
+            self._made(name)
+        self._settle()
+        for name, tenancy in self.tenancies.items():
+            tenancy.begin(prepared[name])
+        self._sweep()
+
+    def _made(self, name: str) -> Tenancy:
+        tenancy = Tenancy(self.common, self.registry.tenants[name], self.turn)
+        self.tenancies[name] = self.by_id[tenancy.id] = tenancy
+        return tenancy
+
+    # ---- changes ----
+
+    def prepare(self, registry: Registry, name: str) -> Prepared:
+        """Binds what the change needs; raises Unfit with nothing bound."""
+        after, before = registry.tenants.get(name), self.registry.tenants.get(name)
+        if after is None or after.tenant.state is State.ENDING:
+            return Prepared()
+        there = before.tenant.listeners if before is not None else ()
+        new = tuple(place for place in after.tenant.listeners if place not in there)
+        try:
+            return bound(self.reactor, new)
+        except Unfit as fault:
+            at = after.tenant.listeners.index(new[int(fault.field[len("listeners["):-1])])
+            raise Unfit(f"listeners[{at}]", fault.why) from fault
+
+    def apply(self, registry: Registry, name: str, prepared: Prepared) -> None:
+        """All of it, in one step of the loop."""
+        self.registry = registry
+        entry, tenancy = registry.tenants.get(name), self.tenancies.get(name)
+        if entry is None:
+            if tenancy is not None:
+                del self.tenancies[name], self.by_id[tenancy.id]
+                tenancy.end()
+            self.removing.discard(name)
+            self._settle()
+        elif tenancy is None:
+            tenancy = self._made(name)
+            self._settle()
+            tenancy.begin(prepared)
+        else:
+            parts = tenancy.entry.tenant.limits != entry.tenant.limits
+            tenancy.change(entry, prepared)
+            if parts:
+                self._settle()
+
+    def change(self, change: Change) -> None:
+        """Makes a change that is not stored. Raises Unfit, NotThere or Stale, and nothing is changed."""
+        name = change.tenant.name if isinstance(change, Make | Replace) else change.name
+        after = self.registry.changed(change)
+        self.apply(after, name, self.prepare(after, name))
+
+    def _removed_here(self, name: str) -> None:
+        try:
+            self.change(Remove(name))
+        except (Unfit, NotThere, Stale):
+            logger.exception("a tenant that has ended could not be removed")
+
+    def _settle(self) -> None:
+        """Each tenant's parts of the loop, of sockets and of machines that several name."""
+        parts, weights, sockets = {}, {}, {}
+        for tenancy in self.tenancies.values():
+            limits = tenancy.entry.tenant.limits
+            weight = weights[tenancy.id] = max(WEIGHT_LEAST, limits.cpu.least)
+            parts[tenancy.id] = weight, limits.cpu.most
+            sockets[tenancy.id] = share_of(limits.sockets, self.lent.whole)
+        self.loop.settle(parts)
+        self.lent.settle(sockets)
+        self._retell(self.common.ledger.settle(weights))
+
+    def _retell(self, ids: set[str]) -> None:
+        """Lists that are others by what other tenants' lists say; told in a turn of their own, once each."""
+        if ids and not self.told:
+            self.reactor.callLater(0, self._tell)
+        self.told |= ids
+
+    def _tell(self) -> None:
+        told, self.told = self.told, set()
+        for id in sorted(told):
+            if id in self.by_id:
+                self.by_id[id].settle()
+
+    # ---- now and then ----
+
+    def _sweep(self) -> None:
+        self.reactor.callLater(SWEEP / SECOND, self._sweep)
+        self.loop.swept()
+        self._retell(self.common.ledger.due(int(self.reactor.seconds() * SECOND)))
+        for tenancy in list(self.tenancies.values()):
+            tenancy.swept()
+            name = tenancy.entry.tenant.name
+            if tenancy.over() and name not in self.removing and not self.ending:
+                self.removing.add(name)
+                self.remove(name)
+        for id, due in self.lent.owed():
+            if id in self.by_id:
+                self.by_id[id].front.give_back(due)
+        self._take_memory_back()
+
+    def _take_memory_back(self) -> None:
+        """Where all hold more than there is, whoever is furthest over its part loses what it has half-read."""
+        held = {tenancy: tenancy.held() for tenancy in self.tenancies.values()}
+        while sum(held.values()) > self.memory:
+            tenancy = max(held, key=lambda t: held[t] - t.entry.tenant.limits.memory.least * self.memory)
+            clients = [client for client in tenancy.front.all if client.kept or client.queued]
+            if not clients:
+                break
+            tenancy.front.drop(max(clients, key=lambda client: client.kept + client.queued))
+            held[tenancy] = tenancy.held()
+
+    def process(self) -> dict[str, Any]:
+        use = time.process_time()
+        return {"name": self.service.name, "up_s": round(self.reactor.seconds() - self.began, 1),
+                "version": self.registry.version, "cpu_s": round(use, 3), "sockets": self.lent.total,
+                "sockets_most": self.lent.whole,
+                "tenants": {name: tenancy.use() for name, tenancy in sorted(self.tenancies.items())}}
+
+    # ---- the operators' file again, where there is no store ----
+
+    def follow(self, registry: Registry) -> None:
+        """Makes the registry what the file says; what does not fit is told and left as it is."""
+        for change in differences(self.registry, registry):
+            try:
+                self.change(change)
+            except (Unfit, NotThere, Stale) as fault:
+                name = change.tenant.name if isinstance(change, Make | Replace) else change.name
+                logger.bind(tenant=name, cause=str(fault)).error("the file's change was not made")
+
+    # ---- the end ----
+
+    def end(self) -> None:
+        """SIGTERM: as a single balancer ends, for all tenants at once."""
+        if self.ending:
+            return
+        self.ending = True
+        logger.info("told to end, {} transactions open", self._open())
+        now = int(self.reactor.seconds() * SECOND)
+        lame = serve_on = leave = 0
+        for tenancy in self.tenancies.values():
+            limits = tenancy.limits
+            tenancy.door.ends_at = now + limits.last
+            lame, leave = max(lame, limits.lame), max(leave, limits.leave)
+            serve_on = max(serve_on, limits.serve_on)
+        self.reactor.callLater(lame / SECOND, self._close)
+        self.reactor.callLater(serve_on / SECOND, self._leave)
+        self.reactor.callLater(leave / SECOND, self._stop)
+
+    def _open(self) -> int:
+        return sum(not tx.answered for tenancy in self.tenancies.values() for tx in tenancy.door.txs.values())
+
+    def _close(self) -> None:
+        for tenancy in self.tenancies.values():
+            tenancy.close_ports()
+
+    def _leave(self) -> None:
+        for tenancy in self.tenancies.values():
+            tenancy.front.leave()
+        self._wait()
+
+    def _wait(self) -> None:
+        if any(tenancy.front.all for tenancy in self.tenancies.values()):
+            self.reactor.callLater(0.01, self._wait)
+        else:
+            self._stop()
+
+    def _stop(self) -> None:
+        if self.reactor.running and not self.stopped:
+            self.stopped = True
+            logger.info("ended, {} transactions open", self._open())
+            self.reactor.stop()
+
+
+def share_of(part: Guarantee, whole: int) -> LentPart:
+    """A part of the whole in its own unit."""
+    return LentPart(int(part.least * whole), int(part.most * whole))
+
+
+def differences(old: Registry, new: Registry) -> list[Change]:
+    """The changes that make one registry of the other; first what makes room, then what takes it."""
+    found: list[Change] = []
+    for name, entry in old.tenants.items():
+        if name not in new.tenants and entry.tenant.state is not State.ENDING:
+            found.append(SetState(name, State.ENDING))
+    for name, entry in new.tenants.items():
+        there = old.tenants.get(name)
+        found += [Make(entry.tenant)] if there is None else _differ(there.tenant, entry.tenant)
+    return found
+
+
+def _differ(old: Tenant, new: Tenant) -> list[Change]:
+    found: list[Change] = []
+    if replace(new, state=old.state) != old:
+        found.append(Replace(replace(new, state=old.state)))
+    if new.state is not old.state:
+        found.append(SetState(new.name, new.state))
+    return found
+
+
+class Running:
+    """The host with its store and its API, and the signals that it heeds."""
+
+    def __init__(self, reactor: Any, service: Service) -> None:
+        self.reactor, self.service = reactor, service
+        self.keeper: Any = None
+        self.api: Any = None
+        self.stored: Any = None
+        if service.store:
+            self._with_store()
+        else:
+            self.host = Host(reactor, service, service.registry)
+
+    def _with_store(self) -> None:
+        # Only here, as without a store none of it is even loaded.
+        from ternquay.hosted.api import Api
+        from ternquay.hosted.changes import Keeper, Stored
+        from ternquay.hosted.store import Store, StoreError
+        try:
+            store = Store(self.service.store)
+            registry = store.registry()
+        except StoreError as fault:
+            raise ServiceError(f"store.path: {fault}") from fault
+        self.host = Host(self.reactor, self.service, registry)
+        self.stored = Stored(self.reactor, store)
+        self.keeper = Keeper(self.reactor, Api(self.service.operators), self.host, self.stored, time.time_ns)
+        self.host.remove = self.keeper.remove
+
+    def begin(self) -> None:
+        try:
+            self.host.begin()
+            if self.service.api is not None:
+                from ternquay.hosted.http import ApiPort
+                self.api = ApiPort(self.reactor, self.service, self.keeper)
+                self.api.begin()
+        except Unfit as fault:
+            raise ServiceError(f"{self.service.path}: {fault.field}: {fault.why}") from fault
+        logger.info("{} serves {} tenants", self.service.name, len(self.host.tenancies))
+
+    def reload(self) -> None:
+        """SIGHUP: the file is read again: operators' keys, the certificate, and without a store the tenants."""
+        try:
+            new = read_service(Path(self.service.path))
+            if self.api is not None and new.api is not None:
+                self.api.reload(new)
+        except ServiceError as fault:
+            logger.bind(cause=str(fault)).error("told to read the file again, the old one is kept")
+            return
+        for field in ("process", "store", "listen", "log"):
+            if getattr(new, field) != getattr(self.service, field) and field != "process":
+                logger.warning("the file has another {}, which waits for the next start", field)
+        if self.keeper is not None:
+            self.keeper.api.operators = new.operators
+        elif not self.host.ending:
+            self.host.follow(new.registry)
+        logger.info("read the file again")
+
+    def end(self) -> None:
+        if self.api is not None:
+            self.api.end()
+        if self.keeper is not None:
+            self.keeper.end()
+        self.host.end()
+
+    def over(self) -> None:
+        if self.stored is not None:
+            self.stored.end()
+
+
+def run(service: Service) -> None:
+    """Serves until SIGTERM. Raises ServiceError if it can't begin."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
+    logs.begin(service.log.json, service.log.level)
+    globalLogPublisher.addObserver(pass_on)
+    reactor = MonotonicReactor()
+    installReactor(reactor)
+    running = Running(reactor, service)
+    try:
+        running.begin()
+        reactor.mark_turns(running.host.turn)
+        for number, what in ((signal.SIGTERM, running.end), (signal.SIGINT, running.end),
+                             (signal.SIGHUP, running.reload)):
+            reactor.callWhenRunning(_heed, reactor, number, what)
+        reactor.run()
+    finally:
+        running.over()
+
+
+def _heed(reactor: Any, number: signal.Signals, what: Callable[[], None]) -> None:
+    signal.signal(number, lambda *_: reactor.callFromThread(what))
--- /dev/null
+++ b/ternquay/hosted/service.py
@@ -0,0 +1,182 @@
+"""The operators' file of a hosted service, decoded and checked before anything starts."""
+
+import tomllib
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from ternquay.hosted.documents import (
+    Document,
+    Millis,
+    Name,
+    TenantDocument,
+    Wall,
+    place_of,
+    plain,
+    read,
+    state_of,
+    tenant_of,
+)
+from ternquay.hosted.registry import Make, Registry
+from ternquay.hosted.tenancy import Process
+from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit
+
+MS = 1_000_000
+Bounded = Annotated[int, msgspec.Meta(ge=1, le=10**6)]
+
+
+class ServiceError(ValueError):
+    """The file can't be used; the text names it and the field."""
+
+
+class ProcessDocument(Document, frozen=True):
+    sockets: Annotated[int, msgspec.Meta(ge=64, le=100_000)] = 1024
+    memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 256  # for what tenants have open, not the program's own
+    balancers: Bounded = 1
+    number: Annotated[int, msgspec.Meta(ge=0)] = 0
+    seed: Annotated[int, msgspec.Meta(ge=0)] | None = None
+
+
+class StoreDocument(Document, frozen=True):
+    path: Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class TlsDocument(Document, frozen=True):
+    certificate: str
+    key: str
+    clients_ca: str = ""  # where clients have to show a certificate by one of these
+
+
+class OperatorDocument(Document, frozen=True):
+    name: Name
+    digest: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{64}$")]
+    since_ms: Wall = 0
+    until_ms: Wall = 0
+
+
+class ApiDocument(Document, frozen=True):
+    listen: str
+    operators: tuple[OperatorDocument, ...] = ()
+    tls: TlsDocument | None = None
+    calls_a_second: Annotated[float, msgspec.Meta(gt=0, le=10_000)] = 50.0
+    burst: Bounded = 100
+    connections: Bounded = 32
+    body_bytes: Bounded = 1 << 19
+    idle_ms: Millis = 10_000
+
+
+class LogDocument(Document, frozen=True):
+    json: bool = True
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class ListedDocument(TenantDocument, frozen=True):
+    """A tenant in the file, where there is no store."""
+
+    state: Literal["active", "suspended"] = "active"
+
+
+class ServiceDocument(Document, frozen=True):
+    name: str = "ternquay"
+    process: ProcessDocument = ProcessDocument()
+    store: StoreDocument | None = None
+    api: ApiDocument | None = None
+    log: LogDocument = LogDocument()
+    tenants: tuple[ListedDocument, ...] = ()
+
+
+class Service(msgspec.Struct, frozen=True):
+    """The file as it is used."""
+
+    path: str
+    name: str
+    process: Process
+    store: str
+    api: ApiDocument | None
+    listen: Place | None
+    operators: tuple[Key, ...]
+    log: LogDocument
+    registry: Registry  # of the file, where there is no store
+
+
+def read_tables(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
+        raise ServiceError(f"{path}: {fault}") from fault
+
+
+def read_service(path: Path) -> Service:
+    """Raises ServiceError."""
+    try:
+        return _service(path, read(ServiceDocument, read_tables(path)))
+    except Unfit as fault:
+        raise ServiceError(f"{path}: {fault.field}: {fault.why}") from fault
+
+
+def _service(path: Path, told: ServiceDocument) -> Service:
+    if told.store is not None and told.tenants:
+        raise Unfit("tenants", "stand in the store where there is one; `ternquay admin apply` brings them there")
+    if told.api is not None and told.store is None:
+        raise Unfit("api", "a store is wanted, as what is acknowledged has to last")
+    return Service(
+        path=str(path), name=told.name, process=_process(told.process), store=_beside(path, told.store),
+        api=told.api, listen=_listen(path, told.api), operators=_operators(told.api), log=told.log,
+        registry=registry_of(told.tenants))
+
+
+def _process(told: ProcessDocument) -> Process:
+    if told.number >= told.balancers:
+        raise Unfit("process.number", f"there are {told.balancers} balancers, from 0")
+    seed = told.seed if told.seed is not None else Random().getrandbits(64)
+    return Process(told.sockets, told.memory_mb, told.balancers, told.number, seed)
+
+
+def _beside(path: Path, told: StoreDocument | None) -> str:
+    """A path that is not absolute is meant from where the file lies."""
+    return str(path.parent / told.path) if told is not None else ""
+
+
+def _listen(path: Path, told: ApiDocument | None) -> Place | None:
+    if told is None:
+        return None
+    place = place_of(told.listen, "api.listen")
+    if told.tls is None and not (place.host.startswith("127.") or place.host == "::1"):
+        raise Unfit("api.tls", "is wanted, as plain HTTP is for loopback alone")
+    if told.tls is not None:
+        for name in ("certificate", "key", "clients_ca"):
+            where = getattr(told.tls, name)
+            if where and not (path.parent / where).is_file():
+                raise Unfit(f"api.tls.{name}", f"{where} is no file")
+    return place
+
+
+def _operators(told: ApiDocument | None) -> tuple[Key, ...]:
+    found = []
+    for i, one in enumerate(told.operators if told is not None else ()):
+        if one.until_ms and one.until_ms <= one.since_ms:
+            raise Unfit(f"api.operators[{i}].until_ms", "is not after it begins")
+        found.append(Key(one.name, bytes.fromhex(one.digest), Scope.OPERATOR, one.since_ms * MS, one.until_ms * MS))
+    names = [key.name for key in found]
+    if len(set(names)) != len(names):
+        raise Unfit("api.operators", "a name stands there twice")
+    return tuple(found)
+
+
+def listed(told: ListedDocument) -> Tenant:
+    document = read(TenantDocument, {name: value for name, value in plain(told).items() if name != "state"})
+    return replace(tenant_of(document), state=state_of(told.state))
+
+
+def registry_of(tenants: tuple[ListedDocument, ...]) -> Registry:
+    """Raises Unfit with the path from the file's root."""
+    registry = Registry()
+    for i, one in enumerate(tenants):
+        try:
+            registry = registry.changed(Make(listed(one)))
+        except Unfit as fault:
+            raise Unfit(f"tenants[{i}].{fault.field}", fault.why) from fault
+    return registry
--- /dev/null
+++ b/ternquay/hosted/store.py
@@ -0,0 +1,240 @@
+"""The registry on disk: SQLite in WAL mode, every change one transaction, acknowledged when it is synced.
+
+    store = Store(path)                        # raises StoreError if it is no store or can't be read
+    registry = store.registry()
+    store.commit(Commit(...))                  # raises StoreError, and nothing of it is there then
+
+Used by one thread alone. What is half written at a crash is recognised by SQLite's checksums and is not there after
+the next start. `step` is called between the steps of a commit, for tests that end the process there.
+"""
+
+import sqlite3
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from ternquay.hosted.documents import KeptKey, KeptTenant, document_of, state_of, tenant_of
+from ternquay.hosted.registry import Entry, Registry
+from ternquay.hosted.tenant import Key, Scope, Tenant, Unfit
+
+FORMAT = 1
+SECOND = 1_000_000_000
+ANSWERS_MOST, ANSWERS_KEPT = 10_000, 24 * 3600 * SECOND
+CHANGES_MOST, AUDIT_MOST = 100_000, 100_000
+TABLES = """
+CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS tenants (name TEXT PRIMARY KEY, version INTEGER NOT NULL, incarnation INTEGER NOT NULL,
+                                    body BLOB NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS changes (version INTEGER PRIMARY KEY, at INTEGER NOT NULL, who TEXT NOT NULL,
+                                    tenant TEXT NOT NULL, kind TEXT NOT NULL, body BLOB NOT NULL);
+CREATE TABLE IF NOT EXISTS answers (who TEXT NOT NULL, key BLOB NOT NULL, asked BLOB NOT NULL, at INTEGER NOT NULL,
+                                    status INTEGER NOT NULL, version INTEGER NOT NULL, body BLOB NOT NULL,
+                                    PRIMARY KEY (who, key));
+CREATE INDEX IF NOT EXISTS answers_at ON answers (at);
+CREATE TABLE IF NOT EXISTS audit (id INTEGER PRIMARY KEY, at INTEGER NOT NULL, who TEXT NOT NULL, peer TEXT NOT NULL,
+                                  call TEXT NOT NULL, status INTEGER NOT NULL, why TEXT NOT NULL,
+                                  many INTEGER NOT NULL);
+"""
+
+
+class StoreError(Exception):
+    """The store can't be read or written; the text says why."""
+
+
+@dataclass(slots=True, frozen=True)
+class Noted:
+    """One line of the audit log; `many`: calls that were alike."""
+
+    at: int
+    who: str
+    peer: str
+    call: str
+    status: int
+    why: str
+    many: int = 1
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The answer to a call that had a key of its own, for when it is repeated."""
+
+    who: str
+    key: bytes  # a digest
+    asked: bytes  # a digest of the call: the same key with another call is a fault of the caller's
+    status: int
+    version: int
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Logged:
+    """One line of the change log."""
+
+    version: int
+    at: int
+    who: str
+    tenant: str
+    kind: str
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Commit:
+    """One change with all that is kept of it. `entry` is None where the tenant is no more."""
+
+    logged: Logged
+    entry: Entry | None
+    answered: Answered | None = None
+    noted: Noted | None = None
+
+
+def kept(tenant: Tenant) -> bytes:
+    keys = tuple(KeptKey(key.name, key.digest, key.scope.value, key.since, key.until) for key in tenant.keys)
+    return msgspec.json.encode(KeptTenant(document_of(tenant), tenant.state.value, keys))
+
+
+def unkept(body: bytes) -> Tenant:
+    """Raises StoreError: what is kept and can't be read is not passed over."""
+    try:
+        told = msgspec.json.decode(body, type=KeptTenant)
+        keys = tuple(Key(k.name, k.digest, Scope(k.scope), k.since, k.until) for k in told.keys)
+        return replace(tenant_of(told.tenant), keys=keys, state=state_of(told.state))
+    except (msgspec.DecodeError, Unfit, ValueError) as fault:
+        raise StoreError(f"a tenant that is kept can't be read: {fault}") from fault
+
+
+class Store:
+    def __init__(self, path: Path | str, step: Callable[[str], None] = lambda what: None) -> None:
+        self.path, self.step = str(path), step
+        try:
+            self.db = sqlite3.connect(self.path, isolation_level=None, timeout=2.0, check_same_thread=False)
+            self._open()
+        except sqlite3.Error as fault:
+            raise StoreError(f"{path}: {fault}") from fault
+
+    def _open(self) -> None:
+        # One process has the store: a second one would acknowledge changes that the first knows nothing of.
+        self.db.execute("PRAGMA locking_mode = EXCLUSIVE")
+        mode = self.db.execute("PRAGMA journal_mode = WAL").fetchone()[0]
+        if mode != "wal":
+            raise StoreError(f"{self.path}: no write-ahead log can be kept there, only {mode}")
+        self.db.execute("PRAGMA synchronous = FULL")
+        self.db.execute("PRAGMA wal_autocheckpoint = 200")
+        if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
+            raise StoreError(f"{self.path}: is damaged")
+        self.db.execute("BEGIN IMMEDIATE")
+        for statement in TABLES.split(";"):
+            self.db.execute(statement)
+        self.db.execute("INSERT OR IGNORE INTO meta VALUES ('format', ?), ('version', 0)", (FORMAT,))
+        self.db.execute("COMMIT")
+        found = self._meta("format")
+        if found != FORMAT:
+            raise StoreError(f"{self.path}: is of format {found}, this program reads {FORMAT}")
+
+    def _meta(self, name: str) -> int:
+        row = self.db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
+        return int(row[0])
+
+    def close(self) -> None:
+        self.db.close()
+
+    # ---- reading ----
+
+    def registry(self) -> Registry:
+        try:
+            rows = self.db.execute("SELECT name, version, incarnation, body FROM tenants ORDER BY name").fetchall()
+            version = self._meta("version")
+        except sqlite3.Error as fault:
+            raise StoreError(f"{self.path}: {fault}") from fault
+        tenants = {name: Entry(unkept(body), at, first) for name, at, first, body in rows}
+        if any(entry.version > version for entry in tenants.values()):
+            raise StoreError(f"{self.path}: a tenant is of a later version than the whole")
+        return Registry(MappingProxyType(tenants), version)
+
+    def answered(self, who: str, key: bytes) -> Answered | None:
+        row = self._rows("SELECT who, key, asked, status, version, body FROM answers WHERE who = ? AND key = ?",
+                         (who, key))
+        return Answered(*row[0]) if row else None
+
+    def changes(self, after: int, most: int, tenant: str = "") -> list[Logged]:
+        return [Logged(*row) for row in self._rows(
+            "SELECT version, at, who, tenant, kind, body FROM changes WHERE version > ? AND (? = '' OR tenant = ?) "
+            "ORDER BY version LIMIT ?", (after, tenant, tenant, most))]
+
+    def audit(self, after: int, most: int) -> list[tuple[int, Noted]]:
+        rows = self._rows("SELECT id, at, who, peer, call, status, why, many FROM audit WHERE id > ? "
+                          "ORDER BY id LIMIT ?", (after, most))
+        return [(row[0], Noted(*row[1:])) for row in rows]
+
+    def _rows(self, text: str, terms: tuple[Any, ...]) -> list[Any]:
+        try:
+            return self.db.execute(text, terms).fetchall()
+        except sqlite3.Error as fault:
+            raise StoreError(f"{self.path}: {fault}") from fault
+
+    # ---- writing ----
+
+    def commit(self, change: Commit) -> None:
+        """All of it or none. When it returns, it is on disk."""
+        self._all_or_none(lambda: self._write(change))
+
+    def note(self, lines: Iterable[Noted]) -> None:
+        """Lines of the audit log that belong to no change."""
+        self._all_or_none(lambda: self._note(lines))
+
+    def _all_or_none(self, what: Callable[[], None]) -> None:
+        try:
+            self.step("begin")
+            self.db.execute("BEGIN IMMEDIATE")
+            try:
+                what()
+                self.step("written")
+                self.db.execute("COMMIT")
+            except BaseException:
+                if self.db.in_transaction:
+                    self.db.execute("ROLLBACK")
+                raise
+            self.step("committed")
+        except sqlite3.Error as fault:
+            raise StoreError(f"{self.path}: {fault}") from fault
+
+    def _write(self, change: Commit) -> None:
+        logged = change.logged
+        if logged.version <= self._meta("version"):
+            raise StoreError(f"{self.path}: version {logged.version} is there already")
+        if change.entry is None:
+            self.db.execute("DELETE FROM tenants WHERE name = ?", (logged.tenant,))
+        else:
+            self.db.execute("INSERT OR REPLACE INTO tenants VALUES (?, ?, ?, ?)", (
+                logged.tenant, change.entry.version, change.entry.incarnation, kept(change.entry.tenant)))
+        self.step("tenant")
+        self.db.execute("UPDATE meta SET value = ? WHERE name = 'version'", (logged.version,))
+        self.step("version")
+        self.db.execute("INSERT INTO changes VALUES (?, ?, ?, ?, ?, ?)", (
+            logged.version, logged.at, logged.who, logged.tenant, logged.kind, logged.body))
+        self.db.execute("DELETE FROM changes WHERE version <= ?", (logged.version - CHANGES_MOST,))
+        self.step("logged")
+        if change.answered is not None:
+            self._answer(logged.at, change.answered)
+        self.step("answered")
+        if change.noted is not None:
+            self._note([change.noted])
+        self.step("noted")
+
+    def _answer(self, at: int, one: Answered) -> None:
+        self.db.execute("INSERT INTO answers VALUES (?, ?, ?, ?, ?, ?, ?)", (
+            one.who, one.key, one.asked, at, one.status, one.version, one.body))
+        self.db.execute("DELETE FROM answers WHERE at < ?", (at - ANSWERS_KEPT,))
+        if one.version % 64 == 0:  # it looks through all of them
+            self.db.execute("DELETE FROM answers WHERE rowid IN (SELECT rowid FROM answers ORDER BY at DESC LIMIT -1 "
+                            "OFFSET ?)", (ANSWERS_MOST,))
+
+    def _note(self, lines: Iterable[Noted]) -> None:
+        rows = [(one.at, one.who, one.peer, one.call, one.status, one.why, one.many) for one in lines]
+        self.db.executemany("INSERT INTO audit (at, who, peer, call, status, why, many) VALUES (?, ?, ?, ?, ?, ?, ?)",
+                            rows)
+        self.db.execute("DELETE FROM audit WHERE id <= (SELECT max(id) FROM audit) - ?", (AUDIT_MOST,))
--- /dev/null
+++ b/ternquay/hosted/tenancy.py
@@ -0,0 +1,383 @@
+"""One tenant on sockets: its listeners, front, door, decisions, pool and source of cache hosts, as its entry has it."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import Factory
+
+from ternquay import model as m
+from ternquay.facts import Names
+from ternquay.hosted.fairness import Dues, Lent
+from ternquay.hosted.front import CROWDING, TenantFront, TenantListener, TenantSockets
+from ternquay.hosted.ledger import Ledger, Named
+from ternquay.hosted.loop import Loop
+from ternquay.hosted.registry import Entry
+from ternquay.hosted.tenant import Place, Server, State, Tenant, Unfit
+from ternquay.net.discovery import Discovery
+from ternquay.net.door import Door, Member, Outgoing
+from ternquay.net.launch import Address
+from ternquay.net.limits import SECOND, Limits, fill
+from ternquay.net.pool import HostConnection, Pool
+from ternquay.net.turn import Turn
+
+MOST_HOPS, BACKOFF_MOST, SPARE = 4, SECOND, 8
+NUMBERS_MOST = 10_000
+
+
+@dataclass(slots=True, frozen=True)
+class Process:
+    """What the process gives all tenants together, and its place among others like it."""
+
+    sockets: int
+    memory_mb: int
+    balancers: int = 1
+    number: int = 0
+    seed: int = 0
+
+
+@dataclass(slots=True)
+class Common:
+    """What all tenants of a process share."""
+
+    reactor: Any
+    process: Process
+    loop: Loop
+    ledger: Ledger
+    sockets: Lent
+    offset: int  # wall clock less ours
+    retell: Callable[[set[str]], None] = lambda names: None
+
+
+class Numbers(dict[str, int]):
+    """Small indices for names that are not known before; beyond a bound each is nobody else's."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.beyond = NUMBERS_MOST
+
+    def get(self, name: str, default: Any = None) -> int:
+        if name not in self:
+            if len(self) >= NUMBERS_MOST:
+                self.beyond += 1
+                return self.beyond
+            self[name] = len(self)
+        return self[name]
+
+
+def started_of(process: Process, tenant: Tenant) -> m.Started:
+    """What the tenant's decisions are told. Its last share is of those who crowd others: beyond it from the first."""
+    rules = tenant.rules
+    return m.Started(
+        seed=process.seed, balancers=process.balancers, number=process.number,
+        profiles=tuple(one.profile for one in tenant.profiles),
+        quotas=(*(share.txs_a_second for share in tenant.shares), 0.0),
+        aside=False, origin_kind=-1, watch_list=False, cancel=True, parallel=True, most_hops=MOST_HOPS,
+        hints_weigh=True, max_backoff=BACKOFF_MOST, quantum=0, cold_share=rules.cold_share,
+        warm_within=rules.warm_within, tip_multiple=rules.tip_multiple, tip_window=rules.tip_window)
+
+
+def names_of(tenant: Tenant, zones: Numbers) -> Names:
+    names = Names({"Profiles": [{"Name": one.name} for one in tenant.profiles],
+                   "Tenants": [{"Name": share.name} for share in tenant.shares]})
+    names.tenants[CROWDING] = len(tenant.shares)
+    names.zones = zones
+    return names
+
+
+def limits_of(process: Process, tenant: Tenant) -> Limits:
+    """The sizes, counts and times of one tenant; its own limits, within what the process has."""
+    own = tenant.limits
+    facts = {
+        "Limits": {"RetryAfter": True, "MaxRetryAfter": BACKOFF_MOST // 1000, "StreamsPerConn": 16,
+                   "DialTimeout": 250_000, "ConnIdle": 5_000_000, "MostHeld": 2 * own.open_txs},
+        "Profiles": [{"HardLimit": one.profile.hard_limit // 1000, "ServiceGoal": one.profile.service_goal // 1000}
+                     for one in tenant.profiles],
+        "Invariants": {"MustAskIn": 10_000_000},
+    }
+    whole = fill(facts, process.sockets, process.memory_mb)
+    memory = int(own.memory.most * process.memory_mb * (1 << 20))
+    return replace(
+        whole, sockets=max(4, int(own.sockets.most * process.sockets) - SPARE), spare=SPARE, clients=own.clients,
+        held=max(1 << 20, min(own.held, memory)), resting=max(8, own.clients // 2))
+
+
+class TenantConnection(HostConnection):
+    """To a cache host; what its answers cost is charged to the tenant."""
+
+    def rawDataReceived(self, data: bytes) -> None:
+        assert isinstance(self.pool, TenantPool)
+        loop = self.pool.loop
+        began = loop.clock()
+        super().rawDataReceived(data)
+        loop.charge(self.pool.name, loop.clock() - began)
+
+
+class TenantPool(Pool):
+    connects = TenantConnection
+
+    def __init__(self, loop: Loop, name: str, *terms: Any) -> None:
+        super().__init__(*terms)
+        self.loop, self.name = loop, name
+
+    def end(self) -> None:
+        """Closes all there is, at once."""
+        for place in list(self.places.values()):
+            for connection in list(place.all):
+                connection.drop()
+
+
+class TenantDoor(Door):
+    """Its list goes by the ledger, and what its hops tell of machines that others name too."""
+
+    told: Callable[[bool, tuple[Member, ...]], None]
+    machine_ended: Callable[[Place, m.End], None]
+
+    def __init__(self, *terms: Any) -> None:
+        super().__init__(*terms)
+        self.shared: dict[int, Place] = {}
+
+    def list_told(self, whole: bool, members: tuple[Member, ...]) -> None:
+        self.told(whole, members)
+
+    def settled(self, members: tuple[Member, ...], shared: Mapping[str, Place]) -> None:
+        """The list as the decisions are to have it."""
+        super().list_told(True, members)
+        self.shared = {self.hosts[id]: place for id, place in shared.items() if id in self.hosts}
+
+    def _ended(self, hop: Outgoing, end: m.End, answer: Any = None, note: int = 0) -> None:
+        place = self.shared.get(hop.host) if self.shared else None
+        super()._ended(hop, end, answer, note)
+        if place is not None:
+            self.machine_ended(place, end)
+
+
+@dataclass(slots=True)
+class Prepared:
+    """Listeners that a change needs, bound but not accepting yet."""
+
+    ports: dict[Place, Any] = field(default_factory=dict)
+
+    def drop(self) -> None:
+        for port in self.ports.values():
+            port.stopListening()
+
+
+class Held(TenantListener):
+    """Is bound at once and accepts only from open() on: a change may still fail after it."""
+
+    held = True
+
+    def startReading(self) -> None:
+        if not self.held:
+            super().startReading()
+
+    def open(self, front: TenantFront, accepted: Callable[[bool], None]) -> None:
+        self.front, self.factory, self.accepted, self.held = front, front, accepted, False
+        self.startReading()
+
+
+def bound(reactor: Any, places: tuple[Place, ...], backlog: int = 1024) -> Prepared:
+    """Raises Unfit, with nothing left bound, if one of them can't be."""
+    prepared = Prepared()
+    for i, place in enumerate(places):
+        port = Held(place.port, Factory(), backlog, place.host, reactor)  # type: ignore[arg-type]
+        try:
+            port.startListening()
+        except CannotListenError as fault:
+            prepared.drop()
+            raise Unfit(f"listeners[{i}]", f"can't be bound: {fault.socketError}") from fault
+        prepared.ports[place] = port
+    return prepared
+
+
+class Tenancy:
+    def __init__(self, common: Common, entry: Entry, turn: Turn) -> None:
+        self.common, self.entry = common, entry
+        self.id = f"{entry.tenant.name}.{entry.incarnation}"  # one made again under the name is another one
+        tenant, reactor = entry.tenant, common.reactor
+        self.limits = limits_of(common.process, tenant)
+        self.zones, self.cells = Numbers(), Numbers()
+        self.sockets = TenantSockets(self.limits, self.id, common.sockets, tenant.limits.host_connections)
+        self.door = TenantDoor(reactor, started_of(common.process, tenant), names_of(tenant, self.zones), self.limits)
+        self.door.told, self.door.machine_ended = self._told, self._machine_ended
+        self.pool = self.door.pool = TenantPool(
+            common.loop, self.id, reactor, self.door, self.limits, self.sockets, True)
+        self.turn = OwnTurn(turn, self.limits.turn)
+        self.dues = Dues(tenant.limits.txs_a_second, tenant.limits.burst)
+        self.front = TenantFront(
+            reactor, self.door, self.limits, self.sockets, self.turn, common.loop, self.id, self.dues)
+        self.front.open_most = tenant.limits.open_txs
+        self.front.gate = self._gate
+        self.ports: dict[Place, Any] = {}
+        self.members: dict[str, Member] = {}
+        self.discovery: Discovery | None = None
+        self.ending_since = 0
+
+    # ---- its beginning, changes and end ----
+
+    def begin(self, prepared: Prepared) -> None:
+        self._open(prepared)
+        self._sourced(self.entry.tenant)
+        self._stand(self.entry.tenant.state)
+
+    def change(self, entry: Entry, prepared: Prepared) -> None:
+        """The tenant is this from now on; transactions that are open end by what they were taken with."""
+        old, new = self.entry.tenant, entry.tenant
+        self.entry = entry
+        if old.limits != new.limits or old.profiles != new.profiles:
+            self._limited(new)
+        if (old.profiles, old.rules, old.shares) != (new.profiles, new.rules, new.shares):
+            start, names = started_of(self.common.process, new), names_of(new, self.zones)
+            self.door.refigured(start, names, self.limits)
+        if old.listeners != new.listeners:
+            for place in set(old.listeners) - set(new.listeners):
+                if place in self.ports:
+                    self.ports.pop(place).stopListening()
+            self._open(prepared)
+        if (old.servers, old.source) != (new.servers, new.source):
+            self._sourced(new, old.source)
+        if old.state is not new.state:
+            self._stand(new.state)
+
+    def _limited(self, tenant: Tenant) -> None:
+        self.limits = limits_of(self.common.process, tenant)
+        self.door.limits = self.pool.limits = self.front.limits = self.sockets.limits = self.limits
+        self.sockets.hosts_most = tenant.limits.host_connections
+        self.turn.most = self.limits.turn
+        self.dues.change(tenant.limits.txs_a_second, tenant.limits.burst)
+        self.front.open_most = tenant.limits.open_txs
+
+    def _open(self, prepared: Prepared) -> None:
+        for place, port in prepared.ports.items():
+            port.open(self.front, self.turn.accepted)
+            self.ports[place] = port
+
+    def _gate(self, accept: bool) -> None:
+        for port in self.ports.values():
+            if accept:
+                port.startReading()
+            else:
+                port.stopReading()
+
+    def _stand(self, state: State) -> None:
+        self.front.shut = 0 if state is State.ACTIVE else self.limits.come_again
+        if state is State.ENDING and not self.ending_since:
+            self.ending_since = self.door.now()
+            self.close_ports()
+            self.front.leave()
+
+    def close_ports(self) -> None:
+        ports, self.ports = self.ports, {}
+        for port in ports.values():
+            port.stopListening()
+
+    def over(self) -> bool:
+        """Whether it is ending and nothing of it is open any more, or has been for too long."""
+        if not self.ending_since:
+            return False
+        longest = max(one.profile.hard_limit for one in self.entry.tenant.profiles)
+        waited = self.door.now() - self.ending_since
+        return (not self.front.all and not self.door.txs) or waited > longest + SECOND
+
+    def end(self) -> None:
+        """It is no more: nothing of it stays."""
+        self.close_ports()
+        if self.discovery is not None:
+            self.discovery.end()
+        for client in list(self.front.all):
+            self.front.drop(client)
+        self.pool.end()
+        self.common.retell(self.common.ledger.left(self.door.now(), self.id))
+
+    # ---- its cache hosts ----
+
+    def _sourced(self, tenant: Tenant, before: Place | None = None) -> None:
+        if self.discovery is not None and tenant.source != before:
+            self.discovery.end()
+            self.discovery = None
+        if tenant.source is not None and self.discovery is None:
+            where = Address(tenant.source.host, tenant.source.port)
+            self.discovery = Discovery(self.common.reactor, self.door, self.limits, where, self.common.offset)
+            self.door.watch = self.discovery.watch
+            self.discovery.watch()
+        elif tenant.source is None:
+            self._told(True, tuple(self._member(server) for server in tenant.servers))
+
+    def _member(self, server: Server) -> Member:
+        # The place stands for the host: it is the same by whatever name it goes.
+        where = Address(server.place.host, server.place.port)
+        since = max(1, server.started - self.common.offset) if server.started else 0
+        standing = m.Standing.DRAINING if server.draining else m.Standing.READY
+        return Member(str(where), where, server.zone, "", self.cells.get(str(where)), standing, server.weight, since)
+
+    def _told(self, whole: bool, members: tuple[Member, ...]) -> None:
+        """From the registry or the source: the ledger has a say in it before the decisions hear of it."""
+        old = self.members
+        kept = {} if whole else dict(old)
+        kept.update({member.id: member for member in members})
+        gone = {id for id, member in kept.items() if member.standing is m.Standing.GONE}
+        if self.entry.tenant.source is not None and whole:
+            gone |= old.keys() - kept.keys()
+        places = [_place((old.get(id) or kept[id]).where) for id in gone]
+        # Where two lines have one place, the machine there is the one that is still listed.
+        self.members = {id: member for id, member in kept.items() if id not in gone}
+        taken = {_place(member.where) for member in self.members.values()}
+        named = {id: Named(_place(member.where), member.standing, member.since) for id, member in self.members.items()}
+        source = self.entry.tenant.source is not None
+        told = self.common.ledger.told(self.door.now(), self.id, named,
+                                       [place for place in places if source and place not in taken])
+        self.settle()
+        self.common.retell(told - {self.id})
+
+    def settle(self) -> None:
+        """Its list as the ledger has it goes to the decisions."""
+        lines = self.common.ledger.lines(self.door.now(), self.id)
+        members = tuple(
+            replace(member, standing=lines[id].standing, since=lines[id].since, part=lines[id].part,
+                    zone=member.zone or id)
+            for id, member in self.members.items())
+        self.door.settled(members, {id: line.place for id, line in lines.items() if line.shared})
+
+    def _machine_ended(self, place: Place, end: m.End) -> None:
+        told = self.common.ledger.ended(self.door.now(), place, end)
+        if told:
+            self.common.retell(told)
+
+    # ---- now and then ----
+
+    def swept(self) -> None:
+        if self.sockets.hosts:
+            self.pool.swept()
+        if self.front.all:
+            self.front.swept()
+
+    def held(self) -> int:
+        """Bytes that it has in memory of half-read and unanswered things."""
+        return self.door.held + self.front.kept + self.front.queued + self.pool.kept
+
+    def use(self) -> dict[str, Any]:
+        part = self.common.loop.parts.get(self.id)
+        return {"clients": self.sockets.clients, "host_connections": self.sockets.hosts, "open": len(self.door.txs),
+                "held_bytes": self.held(), "cpu_s": round(part.spent / SECOND, 3) if part else 0.0,
+                "servers": len(self.members)}
+
+
+def _place(where: Address) -> Place:
+    return Place(where.host, where.port)
+
+
+class OwnTurn(Turn):
+    """One tenant's view of the reactor's turns: when they began is the same for all, what is too long is not."""
+
+    def __init__(self, whole: Turn, most: int) -> None:
+        self.whole, self.most, self.behind = whole, most, 0
+
+    @property
+    def began(self) -> int:  # type: ignore[override]
+        return self.whole.began
+
+    @property
+    def before(self) -> int:  # type: ignore[override]
+        return self.whole.before
--- a/ternquay/hosted/tenant.py
+++ b/ternquay/hosted/tenant.py
@@ -38,12 +38,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Server:
-    """One cache host by the tenant's own name for it. Two that have one place are one machine."""
+    """One cache host by the tenant's own name for it. Two that have one place are one machine.
+
+    `started` is when its copies began to be filled, in wall-clock nanoseconds, 0 for long ago: till it is warm
+    it is spared as rule 4 has it. What is `draining` gets nothing new.
+    """
 
     name: str
     place: Place
     zone: str = ""
     weight: float = 1.0
+    started: int = 0
+    draining: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,6 +118,7 @@
     shares: tuple[Share, ...] = ()
     keys: tuple[Key, ...] = ()
     state: State = State.ACTIVE
+    source: Place | None = None  # where the list of cache hosts is followed, instead of `servers`
 
 
 class Unfit(ValueError):
@@ -167,8 +174,14 @@
         named(server.name, f"servers[{i}].name")
         placed(server.place, f"servers[{i}].place")
         positive(server.weight, f"servers[{i}].weight")
+        if server.started < 0:
+            raise Unfit(f"servers[{i}].started", f"a time is wanted, not {server.started}")
     once([server.name for server in tenant.servers], "servers")
     once([f"{server.place.host}:{server.place.port}" for server in tenant.servers], "servers")
+    if tenant.source is not None:
+        placed(tenant.source, "source")
+        if tenant.servers:
+            raise Unfit("servers", "are listed by the source")
     _fit_profiles(tenant)
     _fit_rules(tenant.rules)
     _fit_limits(tenant.limits)
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -20,12 +20,13 @@
 class Owed:
     """One answer that a client waits for, in its place among the others."""
 
-    __slots__ = ("client", "command", "door", "text", "tx")
+    __slots__ = ("client", "command", "counted", "door", "text", "tx")
 
     def __init__(self, client: "ClientConnection", command: meta.Command) -> None:
         self.client, self.command, self.door = client, command, client.front.door
         self.text: bytes | None = None
         self.tx = -1
+        self.counted = False  # for whoever counts what its client has open
 
     def commit(self, answer: bytes) -> None:
         self.put(meta.committed(self.command, answer))
@@ -38,7 +39,7 @@
 
     def put(self, text: bytes) -> None:
         self.text = text
-        self.client.owes_less()
+        self.client.owes_less(self)
         if not self.client.reading:
             self.client.flush()
 
@@ -47,6 +48,8 @@
 class ClientConnection(Driver):
     """Thin driver of one client connection. As its transport's pull producer it learns when all is out."""
 
+    front: "Front"
+
     def __init__(self, front: "Front") -> None:
         self.front = front
         self.machine = meta.ClientSide(front.limits.line, front.limits.value)
@@ -127,7 +130,7 @@
         """The name of the share of whoever asks."""
         return command.names.get("tenant", "")
 
-    def owes_less(self) -> None:
+    def owes_less(self, owed: Owed) -> None:
         """One more is answered, though maybe not written yet."""
 
     def flush(self) -> None:
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -199,6 +199,8 @@
 
 
 class Pool:
+    connects = HostConnection  # what drives one connection
+
     def __init__(self, reactor: Any, door: Door, limits: Limits, sockets: Sockets, share: bool) -> None:
         self.reactor, self.door, self.limits, self.sockets = reactor, door, limits, sockets
         # Where a transaction may not be out twice, a given-up hop may not stay behind on a shared connection.
@@ -260,7 +262,7 @@
         return least if least is not None and least.load() < self.limits.per_connection else None
 
     def _dial(self, place: HostPlace) -> HostConnection:
-        connection = HostConnection(self, place)
+        connection = self.connects(self, place)
         place.all[connection] = None
         self.sockets.host_opened()
         self.reactor.connectTCP(place.address.host, place.address.port, Dialer(connection),
