--- a/ternquay/hosted/admin.py
+++ b/ternquay/hosted/admin.py
@@ -393,7 +393,7 @@
 
 @app.command()
 def apply(file: TomlFile, remove: RemoveOthers = False) -> None:
-    """Makes the changes that `plan` shows, each for the version that it was planned upon, up to the first that fails."""
+    """Makes the changes that `plan` shows, each for the version that it was planned on, up to the first that fails."""
     with told_in_a_line():
         one = caller()
         steps = steps_of(one, file, remove)
--- a/ternquay/rig/child.py
+++ b/ternquay/rig/child.py
@@ -35,6 +35,8 @@
     shards: int = 1
     balancers: list[str] = []  # where they listen
     epoch_ms: int = 0
+    prefix: str = ""  # of the ids and marks of this load, where several share cache hosts
+    addresses: list[str] = []  # that clients come from, in turn; else the system chooses
     tail_ms: int = 1500  # it goes on for so long after the day's end
 
 
--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, get_args
 
+import msgspec
 import typer
 
 from ternquay.rig.compare import compare, table
@@ -19,9 +20,10 @@
 from ternquay.rig.results import write_result
 from ternquay.rig.saturate import saturate
 from ternquay.rig.survey import Job, against, by_day, survey
-from ternquay.rig.terms import Day, DayError, day_names, read_day
+from ternquay.rig.terms import Day, DayError, FloodShape, day_names, read_day
 
 BROKEN, UNPLAYED, LATE = 1, 2, 3
+FLOODS = get_args(FloodShape)
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="The project's own fleet on loopback: days, faults, a judge, experiments.")
@@ -83,10 +85,13 @@
 def play_day(day: DayName, out: Out, seed: Seed = 1, seconds: Seconds = None, balancers: Balancers = None,
              hosts: Hosts = None, rate: Rate = None, loads: Loads = 2,
              decisions: Annotated[str, typer.Option("--decisions", help="pat, or a baseline's name.")] = "pat",
-             report: Annotated[bool, typer.Option("--report/--no-report", help="Draw report.html.")] = True) -> None:
+             report: Annotated[bool, typer.Option("--report/--no-report", help="Draw report.html.")] = True,
+             flood: Annotated[str, typer.Option(help="Of a day with tenants: another shape, or none.")] = "") -> None:
     """Play one day. Exit 0: no rule was broken; 1: one was; 2: it could not be played; 3: the rig was late."""
     with told_in_a_line():
         world = day_with(day, seconds, balancers, hosts, rate)
+        if world.tenants:
+            return play_hosted(world, seed, out, flood)
         one = by_decisions(decisions)
         warn_of_cores(world.balancers.count, loads)
         saw = play(world, seed, one, out, loads, lambda at: show(f"{world.name} {at:.0f} of {world.seconds:.0f} s"))
@@ -105,6 +110,32 @@
     raise typer.Exit(exit_code(result))
 
 
+def play_hosted(day: Day, seed: int, out: Path, flood: str) -> None:
+    from ternquay.rig.tenants import play_tenants  # with what a hosted service wants
+    if flood:
+        day = flooded(day, flood)
+    result, breaches = play_tenants(day, seed, out, lambda at: show(f"{day.name} {at:.0f} of {day.seconds:.0f} s"))
+    write_result(out, result, breaches)
+    show("")
+    typer.echo(f"{day.name}: service {result['service']:.3f}, rules {result['rules']}"
+               + (", late: void" if result["late"] else ""))
+    for name, one in result["tenants"].items():
+        typer.echo(f"  {name:12} service {one['service']:.3f}  p99 {one['p99_ms']} ms  {one['txs']} txs")
+    for part in ("flood", "changes"):
+        if part in result:
+            typer.echo(f"  {part}: {result[part]}")
+    for breach in breaches[:5]:
+        typer.echo(f"  {breach.rule}: {breach.what}")
+    raise typer.Exit(exit_code(result))
+
+
+def flooded(day: Day, shape: str) -> Day:
+    """The day with another shape of its flood."""
+    if shape not in FLOODS:
+        raise DayError(f"--flood: {shape}: there are {', '.join(FLOODS)}")
+    return msgspec.structs.replace(day, flood=msgspec.structs.replace(day.flood, shape=shape))
+
+
 @app.command("compare")
 def compare_day(day: DayName, a: Annotated[str, typer.Option("--a")], b: Annotated[str, typer.Option("--b")], out: Out,
                 repeat: Annotated[int, typer.Option("--repeat", min=1, max=100)] = 5, seed: Seed = 1,
--- a/ternquay/rig/load.py
+++ b/ternquay/rig/load.py
@@ -214,7 +214,7 @@
         limit = self.law.left(arrival, at - self.begin)
         # Ours alone: that a connection comes up late is the balancer's doing.
         self.late.append(self.clock() - at)
-        id = f"t{arrival.number}.{tries}"
+        id = f"{self.plan.prefix}t{arrival.number}.{tries}"
         seen = records.Try(arrival.number, tries, id, arrival.profile, -1, -1, -1, self.begin + arrival.due,
                            at, 0, limit)
         self.tries.append(seen)
@@ -252,7 +252,9 @@
         connection = Connection(self, balancer, self.connections * self.plan.loads + self.plan.index)
         everyone.append(connection)
         host, port = self.places[balancer]
-        self.reactor.connectTCP(host, int(port), Dialer(connection), timeout=1.0)
+        addresses = self.plan.addresses
+        bind = (addresses[self.connections % len(addresses)], 0) if addresses else None
+        self.reactor.connectTCP(host, int(port), Dialer(connection), timeout=1.0, bindAddress=bind)
         return connection
 
     def command(self, sent: Sent, now: int) -> bytes:
@@ -261,7 +263,7 @@
         left = max(1, (seen.planned + seen.limit - now) // MS)
         names = f"c={profile.name},d={left}"
         if profile.kind == "journalled":
-            names += f",k=m{arrival.number}"
+            names += f",k={self.plan.prefix}m{arrival.number}"
         if seen.tries > 1:
             names += ",r=1"
         if profile.write:
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -100,6 +100,42 @@
     second_copies: bool = True
 
 
+class TenantTerms(Terms, frozen=True):
+    """One tenant of a hosted balancer; with `fleet` it has the cache hosts of the tenant of that name."""
+
+    name: str
+    rate: Positive = 120.0
+    hosts: Count = 5
+    fleet: str = ""
+    addresses: Count = 4  # that its clients come from
+    txs_a_second: Positive = 300.0
+    burst: Count = 150
+    open_txs: Count = 400
+    clients: Count = 150
+    least: Share = 0.25  # of the process's time, sockets and memory
+    most: Share = 0.8
+
+
+FloodShape = Literal["none", "pipelined", "connections", "values", "halves", "garbage", "api"]
+
+
+class FloodTerms(Terms, frozen=True):
+    """One client that sends `factor` times what its tenant may have."""
+
+    shape: FloodShape = "none"
+    tenant: str = ""
+    start: Share = 0.15  # of the play's length
+    end: Share = 0.95
+    factor: Positive = 10.0
+
+
+class ChangeTerms(Terms, frozen=True):
+    """Changes by the administration API during the play."""
+
+    a_second: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
+    tenants: tuple[str, ...] = ()  # those that are changed
+
+
 class Fault(Terms, frozen=True):
     kind: FaultKind
     start: Share  # of the play's length
@@ -107,6 +143,7 @@
     share: Share | None = None  # of the hosts, or
     count: Count | None = None  # so many of them
     balancer: Annotated[int, msgspec.Meta(ge=0)] = 0
+    tenant: str = ""  # whose fleet, on days with tenants
     factor: Positive = 1.0
     part: Share = 0.0  # of answers, connections, arrivals or commands, by kind
     ms: Millis = 0
@@ -124,6 +161,9 @@
     rules: RuleTerms = RuleTerms()
     balancers: BalancerTerms = BalancerTerms()
     faults: tuple[Fault, ...] = ()
+    tenants: tuple[TenantTerms, ...] = ()
+    flood: FloodTerms = FloodTerms()
+    changes: ChangeTerms = ChangeTerms()
 
 
 class Planned(msgspec.Struct, frozen=True):
@@ -166,6 +206,25 @@
             return f"faults[{i}].share: a share or a count of hosts is wanted"
         if f.kind in BALANCER_FAULTS and f.balancer >= day.balancers.count:
             return f"faults[{i}].balancer: there are {day.balancers.count} balancers, from 0"
+    return _tenants_fault(day)
+
+
+def _tenants_fault(day: Day) -> str:
+    names = [one.name for one in day.tenants]
+    owners = {one.name for one in day.tenants if not one.fleet}
+    if len(set(names)) != len(names):
+        return "tenants: a name stands there twice"
+    for i, one in enumerate(day.tenants):
+        if one.fleet and one.fleet not in owners:
+            return f"tenants[{i}].fleet: {one.fleet} is no tenant with cache hosts of its own"
+    if day.flood.shape != "none" and day.flood.tenant not in names:
+        return f"flood.tenant: {day.flood.tenant or 'one'} is wanted among the tenants"
+    for i, name in enumerate(day.changes.tenants):
+        if name not in names:
+            return f"changes.tenants[{i}]: {name} is no tenant"
+    for i, f in enumerate(day.faults):
+        if day.tenants and f.tenant not in owners:
+            return f"faults[{i}].tenant: a tenant with cache hosts of its own is wanted"
     return ""
 
 
