--- a/ternquay/hosted/api.py
+++ b/ternquay/hosted/api.py
@@ -7,7 +7,7 @@
 """
 
 import re
-from base64 import urlsafe_b64decode, urlsafe_b64encode
+from base64 import b64decode, urlsafe_b64encode
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -269,7 +269,7 @@
     def _list_tenants(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
         most = max(1, number_in(call, "limit", PAGE, PAGE_MOST))
         try:
-            after = urlsafe_b64decode(call.query.get("cursor", "").encode()).decode()
+            after = b64decode(call.query.get("cursor", "").encode(), altchars=b"-_", validate=True).decode()
         except ValueError:
             raise Turned(problem(400, "is none that was given out", "cursor")) from None
         names = [who.tenant] if who.tenant else sorted(registry.tenants)
--- a/ternquay/hosted/http.py
+++ b/ternquay/hosted/http.py
@@ -165,8 +165,9 @@
         wait = self.calls.take(int(self.reactor.seconds() * SECOND))
         if wait:
             # The answer, and back-pressure: nothing more is read of who is over until there is room again.
+            channel = call_in.channel  # the library takes it away with the answer
             call_in.answer(problem(429, "too many calls", headers={"retry-after": str(wait // SECOND + 1)}))
-            self._rest(call_in.channel, wait)
+            self._rest(channel, wait)
             return
         call = call_in.call()
         if isinstance(call, Reply):
--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -75,6 +75,11 @@
             typer.echo(f"{name:18} {read_day(name).line}")
 
 
+def plain_days() -> list[str]:
+    """All days but those with tenants, of which other figures are told."""
+    return [name for name in day_names() if not read_day(name).tenants]
+
+
 def exit_code(result: dict[str, Any]) -> int:
     if any(result["rules"].values()) or result["crashes"]:
         return BROKEN
@@ -168,7 +173,7 @@
     """Many days and seeds: a table by day, and the product against baselines with intervals."""
     with told_in_a_line():
         chosen = [by_decisions(name).name for name in decisions.split(",")]
-        worlds = [day_with(name, seconds, None, None, None).name for name in names or day_names()]
+        worlds = [day_with(name, seconds, None, None, None).name for name in names or plain_days()]
         jobs = [Job(day, seed, name) for day in worlds for seed in range(1, seeds + 1) for name in chosen]
         extra = ["--seconds", str(seconds)] if seconds is not None else []
         results = survey(jobs, out, lanes, extra, show)
--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -358,6 +358,8 @@
 
     `shards` processes have the cache hosts, on days without writes and faults alone.
     """
+    if day.tenants:
+        raise PlayError(f"{day.name}: has tenants; rig play and rig neighbours play such a day")
     if shards > 1 and not may_shard(day):
         raise PlayError(f"{day.name}: with writes or faults its cache hosts can't be in several processes")
     shutil.rmtree(out / "logs", ignore_errors=True)
--- /dev/null
+++ b/tests/test_hosted.py
@@ -0,0 +1,525 @@
+"""A hosted service as it runs: tenants on sockets, the API with all that callers may send, its client, ends."""
+
+import http.client
+import json
+import signal
+import socket
+import ssl
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Any
+
+import psutil
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from ternquay.hosted import keys
+from ternquay.hosted.registry import Registry
+from ternquay.rig.play import free_place
+from tests.hosted_helper import ROOT, Hosted, descriptors, document
+
+READ = b"mg k%d v Oi%d Pc=read,d=800\r\n"
+
+
+class Host(threading.Thread):
+    """A cache host that answers each command at once, and counts what it had."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.place = "{}:{}".format(*self.listener.getsockname())
+        self.commands = 0
+        self.start()
+
+    def run(self) -> None:
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answers, args=(client,), daemon=True).start()
+
+    def answers(self, client: socket.socket) -> None:
+        with suppress(OSError):
+            self.answer(client)
+
+    def answer(self, client: socket.socket) -> None:
+        reader = client.makefile("rb")
+        for line in reader:
+            words = line.split()
+            id = next(word for word in words if word[:1] == b"O")
+            self.commands += 1
+            if words[0] == b"ms":
+                reader.read(int(words[2]) + 2)
+                client.sendall(b"HD %b cdone\r\n" % id)
+            else:
+                client.sendall(b"VA 2 %b\r\nhi\r\n" % id)
+
+
+@pytest.fixture(scope="module")
+def host() -> Host:
+    return Host()
+
+
+@pytest.fixture(scope="module")
+def hosted(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Hosted]:
+    one = Hosted(tmp_path_factory.mktemp("hosted")).start()
+    yield one
+    if one.process is not None and one.process.poll() is None:
+        one.kill()
+
+
+def gone(hosted: Hosted, name: str) -> None:
+    assert hosted.call("DELETE", f"/v1/tenants/{name}", if_match="*").status == 202
+    until = time.monotonic() + 10
+    while hosted.call("GET", f"/v1/tenants/{name}").status != 404:
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
+def test_from_made_to_gone_and_made_again_nothing_of_the_old_one_is_left(hosted: Hosted, host: Host) -> None:
+    listen = hosted.make("sur", (host.place,))
+    token = hosted.key("sur", "admin", "administrator")
+    assert hosted.ask(listen, b"mn\r\n" + READ % (1, 1)) == b"MN\r\nVA 2 Oi1\r\nhi\r\n"
+    assert hosted.call("GET", "/v1/tenants/sur", token=token).status == 200
+    before = hosted.call("GET", "/v1/tenants/sur").body["version"]
+    gone(hosted, "sur")
+    with pytest.raises(OSError):
+        hosted.ask(listen, b"mn\r\n")
+    found = hosted.call("POST", "/v1/tenants", document("sur", listen, (host.place,)))
+    assert found.status == 201 and found.body["version"] > before
+    assert hosted.call("GET", "/v1/tenants/sur", token=token).status == 401
+    use = hosted.call("GET", "/v1/process").body["tenants"]["sur"]
+    assert (use["clients"], use["host_connections"], use["open"], use["cpu_s"]) == (0, 0, 0, 0.0)
+    assert hosted.ask(listen, READ % (1, 1)) == b"VA 2 Oi1\r\nhi\r\n"
+    gone(hosted, "sur")
+
+
+def test_states_limits_and_servers_change_under_open_connections(hosted: Hosted, host: Host) -> None:
+    listen = hosted.make("norte", (host.place,), limits={"txs_a_second": 20, "burst": 20})
+    with socket.create_connection(hosted.place(listen)) as client:
+        client.settimeout(2)
+        reader = client.makefile("rb")
+
+        def ask(n: int) -> bytes:
+            client.sendall(READ % (n, n))
+            line = reader.readline()
+            return line + (reader.readline() if line.startswith(b"VA") else b"")
+
+        assert ask(1) == b"VA 2 Oi1\r\nhi\r\n"
+        answers = [ask(n) for n in range(2, 60)]
+        over = [line for line in answers if line.startswith(b"SERVER_ERROR busy ")]
+        assert 20 <= len(over) < 58 and all(0 < int(line.split()[2]) <= 1000 for line in over)
+        assert hosted.call("PUT", "/v1/tenants/norte/state", {"state": "suspended"}, if_match="*").status == 200
+        assert ask(100).startswith(b"SERVER_ERROR busy ")
+        commands = host.commands
+        assert hosted.call("PUT", "/v1/tenants/norte/state", {"state": "active"}, if_match="*").status == 200
+        time.sleep(0.2)
+        assert ask(101).startswith(b"VA") and host.commands == commands + 1
+        assert hosted.call("PUT", "/v1/tenants/norte/servers", {"servers": []}, if_match="*").status == 200
+        time.sleep(0.1)
+        assert ask(102).startswith(b"SERVER_ERROR busy") and host.commands == commands + 1
+    gone(hosted, "norte")
+
+
+def test_a_listener_that_can_not_be_bound_changes_nothing(hosted: Hosted) -> None:
+    version = hosted.call("GET", "/v1/tenants").body["version"]
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        told = document("lleno", "{}:{}".format(*taken.getsockname()))
+        other = free_place("127.0.0.1")
+        found = hosted.call("POST", "/v1/tenants", told | {"listeners": [other, *told["listeners"]]})
+    assert found.status == 422 and found.body["field"] == "listeners[1]" and "bound" in found.body["detail"]
+    assert found.headers["content-type"] == "application/problem+json"
+    assert hosted.call("GET", "/v1/tenants").body["version"] == version
+    socket.create_server(hosted.place(other)).close()  # and the first of them is free again
+
+
+def test_of_two_who_change_one_tenant_at_once_one_is_told_so(hosted: Hosted) -> None:
+    hosted.make("doble")
+    found = hosted.call("GET", "/v1/tenants/doble/limits")
+    told = {"if_match": found.headers["etag"]}
+    statuses: list[int] = []
+    threads = [threading.Thread(target=lambda burst=burst: statuses.append(hosted.call(
+        "PUT", "/v1/tenants/doble/limits", found.body | {"burst": burst}, **told).status)) for burst in (7, 8, 9)]
+    for one in threads:
+        one.start()
+    for one in threads:
+        one.join()
+    assert sorted(statuses) == [200, 412, 412]
+    gone(hosted, "doble")
+
+
+def test_a_watch_of_the_change_log_is_told_of_the_next_change(hosted: Hosted) -> None:
+    version = hosted.call("GET", "/v1/tenants").body["version"]
+    found: list[Any] = []
+    watch = threading.Thread(target=lambda: found.append(hosted.call("GET", f"/v1/changes?after={version}&wait_s=8")))
+    began = time.monotonic()
+    watch.start()
+    time.sleep(0.5)
+    hosted.make("visto")
+    watch.join(5)
+    assert time.monotonic() - began < 5
+    assert [(one["tenant"], one["kind"]) for one in found[0].body["changes"]] == [("visto", "make")]
+    gone(hosted, "visto")
+
+
+def raw(hosted: Hosted, text: bytes, wait: float = 3.0) -> bytes:
+    with socket.create_connection(hosted.place(hosted.api), timeout=wait) as client:
+        found = b""
+        try:
+            client.sendall(text)
+            while more := client.recv(1 << 16):
+                found += more
+        except OSError:
+            pass
+        return found
+
+
+def test_bodies_headers_and_halves_have_bounds(hosted: Hosted) -> None:
+    auth = f"authorization: Bearer {hosted.operator}\r\nhost: x\r\n".encode()
+    head = b"POST /v1/tenants HTTP/1.1\r\n" + auth
+    began = time.monotonic()
+    assert raw(hosted, head + b"content-length: 1073741824\r\n\r\n" + b"x" * 1000).startswith(b"HTTP/1.1 413")
+    chunk = b"10000\r\n" + b"y" * 65536 + b"\r\n"
+    assert raw(hosted, head + b"transfer-encoding: chunked\r\n\r\n" + chunk * 40).startswith(b"HTTP/1.1 413")
+    assert time.monotonic() - began < 3  # at once, and not when all of it has come
+    assert b" 200 " not in raw(hosted, b"GET /v1/tenants HTTP/1.1\r\n" + auth + b"x: " + b"z" * 20_000 + b"\r\n\r\n")
+    assert b" 200 " not in raw(hosted, b"GET /v1/tenants HTTP/1.1\r\n" + auth + b"x: y\r\n" * 300 + b"\r\n")
+    assert raw(hosted, b"nonsense\r\n\r\n").startswith(b"HTTP/1.1 400")
+    deep = b'{"name":' + b"[" * 1000 + b"]" * 1000 + b"}"
+    assert hosted.call("POST", "/v1/tenants", deep).status == 422
+    assert hosted.call("POST", "/v1/tenants", b"[" * 100_000).status == 422
+    for path in ("/v1/tenants/%2e%2e", "/v1/tenants/%00", "/%76%31/tenants", "//", "/" + "a" * 3000):
+        assert hosted.call("GET", path).status in (400, 404)
+    assert hosted.call("GET", "/v1/tenants").status == 200
+
+
+def test_calls_over_the_rate_are_told_to_come_back(tmp_path: Path) -> None:
+    one = Hosted(tmp_path)
+    one.file.write_text(one.text.replace("calls_a_second = 500.0\nburst = 500", "calls_a_second = 10.0\nburst = 5"))
+    one.start()
+    try:
+        statuses, waits = [], []
+        connection = http.client.HTTPConnection(*one.place(one.api), timeout=10)
+        began = time.monotonic()
+        for _ in range(12):
+            connection.request("GET", "/v1/tenants", headers={"authorization": f"Bearer {one.operator}"})
+            found = connection.getresponse()
+            found.read()
+            statuses.append(found.status)
+            waits += [found.getheader("retry-after")] if found.status == 429 else []
+        # Told so, and then not read from until there is room: whoever goes on at once is slowed down.
+        assert statuses[:5] == [200] * 5 and statuses.count(429) >= 3 and set(waits) == {"1"}
+        assert time.monotonic() - began > 0.2
+    finally:
+        one.kill()
+
+
+def test_more_connections_than_it_takes_are_told_so(tmp_path: Path) -> None:
+    one = Hosted(tmp_path, "connections = 3").start()
+    try:
+        held = [socket.create_connection(one.place(one.api)) for _ in range(3)]
+        time.sleep(0.3)
+        assert raw(one, b"GET / HTTP/1.1\r\n\r\n").startswith(b"HTTP/1.1 503")
+        for client in held:
+            client.close()
+        time.sleep(0.3)
+        assert one.call("GET", "/v1/tenants").status == 200
+    finally:
+        one.kill()
+
+
+def test_killed_and_started_again_it_is_what_was_acknowledged(tmp_path: Path, host: Host) -> None:
+    one = Hosted(tmp_path).start()
+    try:
+        listen = one.make("sur", (host.place,))
+        token = one.key("sur", "admin", "administrator")
+        body = one.call("GET", "/v1/tenants/sur/limits").body | {"burst": 77}
+        first = one.call("PUT", "/v1/tenants/sur/limits", body, if_match='"2"', idempotency_key="mine")
+        assert first.status == 200
+        one.kill()
+        one.start()
+        again = one.call("PUT", "/v1/tenants/sur/limits", body, if_match='"2"', idempotency_key="mine")
+        assert (again.status, again.body, again.headers["idempotency-replayed"]) == (200, first.body, "true")
+        assert one.call("GET", "/v1/tenants/sur", token=token).body["version"] == 3
+        assert one.ask(listen, READ % (1, 1)) == b"VA 2 Oi1\r\nhi\r\n"
+        assert token not in one.log.read_text() and one.operator not in one.log.read_text()
+        for line in one.log.read_text().splitlines():
+            assert {"at", "level", "message"} <= json.loads(line).keys()
+        told = [json.loads(line) for line in one.log.read_text().splitlines() if '"changed"' in line]
+        assert [(x["tenant"], x["version"], x["who"], x["kind"]) for x in told] == [
+            ("sur", 1, "operator/main", "make"), ("sur", 2, "operator/main", "key-made"),
+            ("sur", 3, "operator/main", "limits")]
+        assert token.encode() not in b"".join(path.read_bytes() for path in tmp_path.glob("registry.db*"))
+        assert one.end() == 0
+    finally:
+        one.kill()
+
+
+def test_a_planned_end_answers_what_was_taken(tmp_path: Path) -> None:
+    slow = socket.create_server(("127.0.0.1", 0))  # accepts and answers nobody
+    one = Hosted(tmp_path).start()
+    try:
+        listen = one.make("sur", ("{}:{}".format(*slow.getsockname()),))
+        with socket.create_connection(one.place(listen)) as client:
+            client.sendall(READ % (1, 1) + b"mg k v Oonce Pc=once,d=800\r\n")
+            time.sleep(0.2)
+            assert one.process is not None
+            one.process.send_signal(signal.SIGTERM)
+            client.settimeout(5)
+            found = b""
+            while more := client.recv(4096):
+                found += more
+        assert found.count(b"SERVER_ERROR") == 2
+        assert one.process.wait(10) == 0
+    finally:
+        one.kill()
+        slow.close()
+
+
+def certificate(folder: Path, name: str) -> None:
+    """A certificate that is its own authority, and its key."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+    now = datetime.now(UTC)
+    made = (x509.CertificateBuilder().subject_name(subject).issuer_name(subject).public_key(key.public_key())
+            .serial_number(x509.random_serial_number()).not_valid_before(now - timedelta(days=1))
+            .not_valid_after(now + timedelta(days=1))
+            .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+            .add_extension(x509.SubjectAlternativeName([x509.IPAddress(ip_address("127.0.0.1"))]), critical=False)
+            .sign(key, hashes.SHA256()))
+    (folder / f"{name}.pem").write_bytes(made.public_bytes(serialization.Encoding.PEM))
+    (folder / f"{name}.key").write_bytes(key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+
+
+def test_tls_wants_its_callers_certificates_and_reloads_its_own(tmp_path: Path) -> None:
+    for name in ("one", "two", "caller"):
+        certificate(tmp_path, name)
+    (tmp_path / "api.pem").write_bytes((tmp_path / "one.pem").read_bytes())
+    (tmp_path / "api.key").write_bytes((tmp_path / "one.key").read_bytes())
+    tls = '[api.tls]\ncertificate = "api.pem"\nkey = "api.key"\nclients_ca = "caller.pem"\n'
+    one = Hosted(tmp_path, tls=tls).start()
+
+    def status(ca: str, caller: bool = True) -> int:
+        context = ssl.create_default_context(cafile=str(tmp_path / f"{ca}.pem"))
+        if caller:
+            context.load_cert_chain(tmp_path / "caller.pem", tmp_path / "caller.key")
+        connection = http.client.HTTPSConnection(*one.place(one.api), timeout=5, context=context)
+        connection.request("GET", "/v1/tenants", headers={"authorization": f"Bearer {one.operator}"})
+        return connection.getresponse().status
+
+    try:
+        assert status("one") == 200
+        with pytest.raises((ssl.SSLError, OSError)):
+            status("one", caller=False)
+        with pytest.raises(ssl.SSLError):
+            status("two")
+        assert one.process is not None
+        (tmp_path / "api.pem").write_text("nonsense")
+        one.process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        assert status("one") == 200 and "certificate" in one.log.read_text()  # the old one is kept
+        (tmp_path / "api.pem").write_bytes((tmp_path / "two.pem").read_bytes())
+        (tmp_path / "api.key").write_bytes((tmp_path / "two.key").read_bytes())
+        one.process.send_signal(signal.SIGHUP)
+        time.sleep(0.5)
+        assert status("two") == 200
+    finally:
+        one.kill()
+
+
+def test_without_a_store_the_file_is_the_registry_and_is_followed(tmp_path: Path, host: Host) -> None:
+    listens = [free_place("127.0.0.1") for _ in range(3)]
+
+    def text(*those: tuple[str, str, str]) -> str:
+        return "[process]\nsockets = 256\n" + "".join(
+            f'[[tenants]]\nname = "{name}"\nlisteners = ["{listen}"]\nstate = "{state}"\n'
+            f'servers = [{{ name = "h", place = "{host.place}" }}]\n'
+            'profiles = [{ name = "read", kind = "idempotent", service_goal_ms = 300, hard_limit_ms = 900 }]\n'
+            for name, listen, state in those)
+
+    file = tmp_path / "service.toml"
+    file.write_text(text(("uno", listens[0], "active"), ("dos", listens[1], "active")))
+    with open(tmp_path / "log", "ab") as log:
+        process = subprocess.Popen([sys.executable, "-m", "ternquay", "host", "--config", str(file)], cwd=ROOT,
+                                   stderr=log)
+    one = Hosted.__new__(Hosted)
+
+    def answers(listen: str) -> bytes:
+        try:
+            return one.ask(listen, READ % (1, 1), 0.3)
+        except OSError:
+            return b""
+
+    try:
+        until = time.monotonic() + 15
+        while not answers(listens[0]).startswith(b"VA") and time.monotonic() < until:
+            time.sleep(0.1)
+        assert answers(listens[1]).startswith(b"VA")
+        loaded = Path(f"/proc/{process.pid}/maps").read_text()
+        assert "_sqlite3" not in loaded
+        file.write_text("name = 3")
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        assert answers(listens[0]).startswith(b"VA")
+        file.write_text(text(("uno", listens[0], "suspended"), ("tres", listens[2], "active")))
+        process.send_signal(signal.SIGHUP)
+        time.sleep(1.5)
+        assert answers(listens[0]).startswith(b"SERVER_ERROR busy") and answers(listens[1]) == b""
+        assert answers(listens[2]).startswith(b"VA")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+
+
+@pytest.mark.parametrize(("text", "named"), [
+    ("name = 3", "name"), ("[api]\nlisten = '127.0.0.1:1'", "api"), ("[nonsense]", "nonsense"),
+    ("[store]\npath='x'\n[api]\nlisten='10.0.0.1:80'", "api.tls"), ("[process]\nsockets = 3", "process.sockets"),
+    ("[store]\npath='x'\n[api]\nlisten='nowhere'", "api.listen"), ("[process]\nnumber = 5", "process.number"),
+    ("[store]\npath='x'\n[api]\nlisten='127.0.0.1:1'\n[api.tls]\ncertificate='no'\nkey='no'", "api.tls.certificate"),
+    ("[[tenants]]\nname='a'\nlisteners=['x']\nprofiles=[]", "tenants[0].listeners[0]"), ("x = [", "TOML"),
+    ("[store]\npath='x'\n[[tenants]]\nname='a'\nlisteners=['127.0.0.1:1']\nprofiles=[]", "tenants"),
+])
+def test_a_file_that_can_not_be_used_is_told_in_one_line(text: str, named: str, tmp_path: Path) -> None:
+    file = tmp_path / "s.toml"
+    file.write_text(text)
+    for command in ("check", "host"):
+        found = subprocess.run([sys.executable, "-m", "ternquay", command, "--config", str(file)], cwd=ROOT,
+                               capture_output=True, text=True, timeout=30, check=False)
+        assert found.returncode == 2 and found.stderr.count("\n") == 1, found.stderr
+        assert named in found.stderr or named == "TOML"
+
+
+def test_the_file_under_deploy_can_be_used() -> None:
+    found = subprocess.run([sys.executable, "-m", "ternquay", "check", "--config", "deploy/service.toml"], cwd=ROOT,
+                           capture_output=True, text=True, check=False)
+    assert (found.returncode, found.stdout) == (0, "ternquay: 1 tenants, no store, no API, 1024 sockets\n")
+
+
+def test_serve_loads_nothing_of_the_hosted_service_or_the_rig() -> None:
+    code = ("import sys; from ternquay.net.serve import run; from ternquay.cli import app; "
+            "wrong = ('ternquay.hosted', 'ternquay.rig', 'msgspec', 'sqlite3'); "
+            "print([n for n in sys.modules if n.startswith(wrong)])")
+    found = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert found.stdout == "[]\n"
+
+
+# ---- the client ----
+
+
+def admin(hosted: Hosted, *words: str, token: str | None = None) -> tuple[int, str, str]:
+    done = subprocess.run([sys.executable, "-m", "ternquay", "admin", "--url", f"http://{hosted.api}", "--token",
+                           hosted.operator if token is None else token, *words], cwd=ROOT, capture_output=True,
+                          text=True, timeout=60, check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
+def test_the_client_plans_applies_and_tells_scripts_what_came_of_it(hosted: Hosted, tmp_path: Path) -> None:
+    listen, file = free_place("127.0.0.1"), tmp_path / "tenants.toml"
+    file.write_text(f'[[tenants]]\nname = "plan"\nlisteners = ["{listen}"]\n'
+                    'profiles = [{ name = "read", kind = "idempotent", service_goal_ms = 300, hard_limit_ms = 900 }]\n')
+    code, out, _ = admin(hosted, "plan", str(file), "--detect")
+    assert code == 7 and out.startswith("make plan\n") and "profiles: nothing ->" in out
+    assert admin(hosted, "apply", str(file))[0] == 0
+    assert admin(hosted, "plan", str(file), "--detect")[:2] == (0, "nothing differs\n")
+    code, out, _ = admin(hosted, "--json", "tenants", "show", "plan")
+    assert code == 0 and json.loads(out)["tenant"]["name"] == "plan"
+    assert admin(hosted, "servers", "put", "plan", "x", "10.0.0.9:80", "--warm")[0] == 0
+    assert "draining" in admin(hosted, "servers", "list", "plan")[1]
+    assert admin(hosted, "servers", "drain", "plan", "x")[0] == 0
+    assert hosted.call("GET", "/v1/tenants/plan/servers").body["servers"][0]["draining"] is True
+    assert admin(hosted, "limits", "set", "plan", "burst=9", "cpu.least=0.05")[0] == 0
+    code, _, errors = admin(hosted, "limits", "set", "plan", "cpu=9")
+    assert (code, errors.count("\n")) == (2, 1) and "cpu" in errors
+    assert admin(hosted, "limits", "set", "plan", "burst=10", "--version", "1")[0] == 5
+    assert admin(hosted, "tenants", "show", "nobody")[0] == 4
+    assert admin(hosted, "tenants", "list", token="nonsense")[0] == 3
+    code, out, _ = admin(hosted, "keys", "make", "plan", "k", "--scope", "reader")
+    assert code == 0 and "tq1.plan.k." in out
+    assert admin(hosted, "tenants", "suspend", "plan")[0] == 0
+    code, out, _ = admin(hosted, "changes")
+    assert code == 0 and "key-made" in out
+    assert "nonsense" not in admin(hosted, "audit")[1]
+    code, _, errors = admin(hosted, "apply", str(tmp_path / "nowhere.toml"))
+    assert (code, errors.count("\n")) == (2, 1)
+    file.write_text("tenants = []\n")
+    assert admin(hosted, "apply", str(file), "--remove")[0] == 0
+    unreached = subprocess.run([sys.executable, "-m", "ternquay", "admin", "--url", "http://127.0.0.1:1", "--token",
+                                "x", "tenants", "list"], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert unreached.returncode == 6 and unreached.stderr.count("\n") == 1
+
+
+# ---- floods ----
+
+
+def test_one_client_that_pipelines_hundreds_does_not_take_the_others_turns(hosted: Hosted, host: Host) -> None:
+    listen = hosted.make("coro", (host.place,), limits={"txs_a_second": 100_000, "burst": 100_000, "open_txs": 400})
+    stop = threading.Event()
+
+    def flood() -> None:
+        client = socket.create_connection(hosted.place(listen), source_address=("127.0.0.7", 0))
+        client.settimeout(0.2)
+        while not stop.is_set():
+            try:
+                client.sendall(b"".join(READ % (n, n) for n in range(200)))
+                while client.recv(1 << 16):
+                    pass
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+
+    floods = [threading.Thread(target=flood, daemon=True) for _ in range(10)]
+    for one in floods:
+        one.start()
+    time.sleep(0.5)
+    took, committed = [], 0
+    with socket.create_connection(hosted.place(listen)) as client:
+        client.settimeout(5)
+        reader = client.makefile("rb")
+        for n in range(100):
+            began = time.monotonic()
+            client.sendall(READ % (n, n))
+            line = reader.readline()
+            if line.startswith(b"VA"):
+                committed += 1
+                reader.readline()
+            took.append(time.monotonic() - began)
+            time.sleep(0.01)
+    stop.set()
+    assert committed >= 90 and sorted(took)[90] < 0.3
+    assert descriptors(hosted.process) < 256  # type: ignore[arg-type]
+    gone(hosted, "coro")
+
+
+def test_idle_tenants_cost_little_memory(tmp_path: Path) -> None:
+    one = Hosted(tmp_path).start()
+    try:
+        assert one.process is not None
+        meter = psutil.Process(one.process.pid)
+        none = {part: {"least": 0.0, "most": 1.0} for part in ("cpu", "sockets", "memory")}
+        for n in range(10):
+            one.make(f"warm-{n}", tuple(f"10.0.{n}.{k}:80" for k in range(5)), limits=none)
+        before = meter.memory_info().rss
+        for n in range(40):
+            one.make(f"t-{n}", tuple(f"10.1.{n}.{k}:80" for k in range(5)), limits=none)
+        each = (meter.memory_info().rss - before) / 40
+        assert each < 200_000, each
+    finally:
+        one.kill()
+
+
+def test_an_empty_registry_is_one(tmp_path: Path) -> None:
+    assert Registry().version == 0 and keys.TOKEN.fullmatch(keys.made("", "x"))
--- /dev/null
+++ b/tests/test_hosted_parts.py
@@ -0,0 +1,373 @@
+"""What decides in a hosted service, without sockets: parts, turns, the ledger of machines, documents, keys, calls."""
+
+import json
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+
+from ternquay import model as m
+from ternquay.hosted import keys
+from ternquay.hosted.api import ROUTES, Api, Call, Look, Proposal, Reply
+from ternquay.hosted.documents import TenantDocument, decoded, document_of, plain, read, tenant_of
+from ternquay.hosted.fairness import SECOND, Ceiling, Dues, Lent, Part, Turns
+from ternquay.hosted.ledger import FAILS, GONE_KEPT, Ledger, Named
+from ternquay.hosted.openapi import description
+from ternquay.hosted.plan import planned
+from ternquay.hosted.registry import Make, Registry
+from ternquay.hosted.tenant import Guarantee, Key, Place, Scope, Unfit
+from tests.hosted_helper import document
+from tests.test_registry import LIMITS, made, tenant
+
+MS = 1_000_000
+
+
+# ---- parts of what a tenant has ----
+
+
+def test_a_client_within_its_part_is_never_turned_away_by_one_that_asks_without_end() -> None:
+    dues = Dues(100.0, 20.0)
+    taken = {"flood": 0, "calm": 0}
+    away = 0
+    for n in range(10_000):  # ten seconds; the flood asks each millisecond, the other 40 times a second
+        now = n * MS
+        taken["flood"] += dues.take(now, "flood") == 0
+        if n % 25 == 0:
+            away += dues.take(now, "calm") != 0
+            taken["calm"] += 1
+    assert away == 0 and taken["calm"] == 400
+    assert 570 <= taken["flood"] <= 1000 + 20 * 2 - 400  # what the other leaves, and no more
+
+
+def test_what_nobody_else_asks_for_is_lent_and_the_wait_that_is_told_is_long_enough() -> None:
+    dues = Dues(100.0, 10.0)
+    assert sum(dues.take(n * MS, "one") == 0 for n in range(5000)) >= 500
+    wait = dues.take(5 * SECOND, "one")
+    assert wait > 0 and dues.take(5 * SECOND + wait, "one") == 0
+
+
+def test_the_table_of_clients_has_a_bound_and_who_has_something_open_stays() -> None:
+    dues = Dues(1e6, 1e6, most=50)
+    dues.take(0, "first")
+    dues.opened("first")
+    for n in range(500):
+        dues.take(n, f"c{n}")
+    assert len(dues.clients) <= 502 and "first" in dues.clients
+    dues.closed("first")
+    dues.closed("first")  # once too often changes nothing
+    for n in range(500):
+        dues.take(10 * SECOND + n, "last")
+    assert list(dues.clients) == ["last"] and dues.open == 0
+
+
+def test_who_has_most_open_crowds_others_but_not_itself_alone() -> None:
+    dues = Dues(1e6, 1e6)
+    for who, many in (("flood", 200), ("a", 2), ("b", 3)):
+        for _ in range(many):
+            dues.take(1, who)
+            dues.opened(who)
+    assert dues.crowds("flood", 8, 1.5) and not dues.crowds("a", 8, 1.5) and not dues.crowds("nobody", 8, 1.5)
+    alone = Dues(1e6, 1e6)
+    for _ in range(100):
+        alone.take(1, "one")
+        alone.opened("one")
+    assert not alone.crowds("one", 8, 1.5)
+
+
+def test_a_ceiling_holds_over_time_and_tells_how_long_to_pause() -> None:
+    ceiling, now, had = Ceiling(0.25), 0, 0
+    while now < 10 * SECOND:
+        if wait := ceiling.wait(now):
+            now += wait
+            continue
+        now += 3 * MS
+        had += 3 * MS
+        ceiling.spent(now, 3 * MS)
+    assert 0.24 <= had / now <= 0.27
+    assert Ceiling(1.0).wait(0) == 0
+
+
+def test_time_outside_of_turns_is_charged_only_while_others_wait_and_rounds_pay_it_off() -> None:
+    turns = Turns(MS)
+    turns.settle({"a": 1.0, "b": 1.0})
+    turns.charge(0, "a", 50 * MS)
+    assert "a" not in turns.left  # nobody waited
+    turns.ready(0, "b")
+    turns.charge(0, "a", 5 * MS)
+    turns.ready(0, "a")
+    order = []
+    for n in range(14):
+        who = turns.next()
+        assert who is not None
+        order.append(who)
+        turns.spent(n * MS, who, MS, more=True)
+    assert order[:5] == ["b"] * 5 and order.count("a") >= 4
+    turns.spent(0, "a", 0, more=False)
+    turns.charge(0, "a", 3 * MS)
+    for n in range(10):
+        who = turns.next()
+        assert who == "b"
+        turns.spent(n, who, MS, more=True)
+    assert "a" not in turns.since  # rounds of the other have paid for it
+
+
+def test_room_that_others_left_is_lent_and_what_is_there_counts_whatever_the_parts_say() -> None:
+    lent = Lent(100, {"a": Part(20, 80), "b": Part(30, 100)})
+    assert (lent.room("a"), lent.room("b"), lent.room("nobody")) == (80, 100, 0)
+    lent.count("a", 75)
+    assert lent.room("b") == 30 and lent.room("a") == 80  # b's own part, and a's most with 25 left
+    lent.count("b", 30)
+    assert lent.owed() == [("a", 5)]
+    lent.count("a", -200)
+    assert lent.total == 30
+
+
+# ---- machines that several tenants name ----
+
+
+PLACE, OTHER = Place("10.0.0.1", 80), Place("10.0.0.2", 80)
+
+
+def named(place: Place = PLACE, standing: m.Standing = m.Standing.READY, since: int = 0) -> Named:
+    return Named(place, standing, since)
+
+
+def test_one_machine_of_two_tenants_has_one_budget_one_start_and_one_drain() -> None:
+    ledger = Ledger({"a": 1.0, "b": 3.0})
+    assert ledger.told(0, "a", {"x": named()}) == {"a"}
+    assert ledger.lines(0, "a")["x"].part == 1.0 and not ledger.lines(0, "a")["x"].shared
+    assert ledger.told(0, "b", {"y": named(since=50), "z": named(OTHER)}) == {"a", "b"}
+    a, b = ledger.lines(0, "a")["x"], ledger.lines(0, "b")["y"]
+    assert (a.part, b.part, a.since, a.shared) == (0.25, 0.75, 50, True) and ledger.lines(0, "b")["z"].part == 1.0
+    assert ledger.told(0, "b", {"y": named(standing=m.Standing.DRAINING, since=50), "z": named(OTHER)}) == {"a", "b"}
+    assert ledger.lines(0, "a")["x"].standing is m.Standing.DRAINING
+    assert ledger.left(0, "b") == {"a"}
+    assert ledger.lines(0, "a")["x"] == replace(a, part=1.0, since=0, shared=False)
+    assert ledger.left(0, "a") == set() and not ledger.machines and not ledger.lists
+
+
+def test_a_machine_that_one_tenants_source_calls_gone_gets_nothing_of_another() -> None:
+    ledger = Ledger()
+    ledger.told(0, "a", {"x": named()})
+    ledger.told(0, "b", {"y": named()})
+    assert ledger.told(5, "a", {}, [PLACE]) == {"a", "b"}
+    assert ledger.lines(5, "b")["y"].standing is m.Standing.DRAINING
+    assert ledger.due(5 + GONE_KEPT) == {"b"} and ledger.lines(5 + GONE_KEPT, "b")["y"].standing is m.Standing.READY
+    ledger.told(9, "a", {"x": named()})
+    ledger.told(9, "a", {}, [PLACE])
+    ledger.told(9, "b", {"y": named(since=7)})  # another start of it: that is another machine
+    assert ledger.lines(9, "b")["y"].standing is m.Standing.READY
+
+
+def test_a_machine_that_answers_nobody_rests_for_all_and_one_that_answers_any_does_not() -> None:
+    ledger = Ledger()
+    ledger.told(0, "a", {"x": named()})
+    assert not any(ledger.ended(n, PLACE, m.End.RESET) for n in range(20))  # one tenant's own judges its health
+    ledger.told(0, "b", {"y": named()})
+    for n in range(FAILS - 1):
+        assert not ledger.ended(n, PLACE, m.End.TIMED_OUT)
+    assert not ledger.ended(5, PLACE, m.End.DONE)
+    for n in range(FAILS - 1):
+        assert not ledger.ended(n, PLACE, (m.End.RESET, m.End.UNREACHABLE, m.End.TIMED_OUT)[n])
+    assert ledger.ended(10, PLACE, m.End.CANCELLED) == set()
+    assert ledger.ended(10, PLACE, m.End.RESET) == {"a", "b"}
+    assert ledger.lines(11, "a")["x"].standing is ledger.lines(11, "b")["y"].standing is m.Standing.DRAINING
+    assert ledger.due(SECOND) == set() and ledger.due(SECOND + 10) == {"a", "b"}
+    assert ledger.lines(SECOND + 10, "a")["x"].standing is m.Standing.READY
+    ledger.ended(SECOND + 20, PLACE, m.End.RESET)
+    assert ledger.ended(SECOND + 30, PLACE, m.End.RESET) == {"a", "b"}  # sooner after a rest, and for longer
+    assert ledger.due(3 * SECOND) == set() and ledger.due(3 * SECOND + 30) == {"a", "b"}
+    assert ledger.ended(0, OTHER, m.End.RESET) == set()
+
+
+# ---- documents ----
+
+
+TOLD = document("sur", "127.0.0.1:7001", ("10.0.0.1:80", "[::1]:81"), shares=[{"name": "s", "txs_a_second": 2}])
+
+
+def test_a_tenant_goes_through_its_document_and_back_unchanged() -> None:
+    one = tenant_of(read(TenantDocument, TOLD))
+    again = tenant_of(decoded(TenantDocument, msgspec.json.encode(document_of(one))))
+    assert again == one and one.servers[1].place == Place("::1", 81)
+    assert plain(document_of(one))["limits"]["cpu"] == {"least": 0.1, "most": 0.8}
+
+
+@pytest.mark.parametrize(("change", "field"), [
+    ({"servers": [{"name": "x", "place": "somewhere"}]}, "servers[0].place"),
+    ({"servers": [{"name": "x", "place": "1.2.3.4:99999"}]}, "servers[0].place.port"),
+    ({"servers": [{"name": "x", "place": "1.2.3.4:9", "speed": 3}]}, "servers[0]"),
+    ({"source": "nowhere"}, "source"),
+    ({"source": "127.0.0.1:80"}, "servers"),
+    ({"limits": {"cpu": {"least": 0.9, "most": 0.1}}}, "limits.cpu"),
+    ({"limits": {"txs_a_second": "many"}}, "limits.txs_a_second"),
+    ({"profiles": []}, "profiles"),
+    ({"listeners": ["localhost:80"]}, "listeners[0]"),
+    ({"name": "Sur"}, "name"),
+])
+def test_what_is_no_tenant_names_its_field(change: dict[str, Any], field: str) -> None:
+    with pytest.raises(Unfit) as fault:
+        tenant_of(read(TenantDocument, TOLD | change))
+    assert fault.value.field == field
+
+
+DEEP = b'{"a":' * 1000 + b"1" + b"}" * 1000
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"\xff\xfe", b"[" * 100_000, DEEP, b"null"])
+def test_what_can_not_be_read_is_unfit_and_nothing_worse(body: bytes) -> None:
+    with pytest.raises(Unfit):
+        decoded(TenantDocument, body)
+
+
+# ---- keys and calls ----
+
+
+NOW = 1_800_000_000 * SECOND
+OPERATOR = keys.made("", "main")
+ADMINISTRATOR, READER, OLD = (keys.made("sur", name) for name in ("admin", "reader", "old"))
+OPERATORS = (Key("main", keys.digest_of(OPERATOR), Scope.OPERATOR, 0),)
+
+
+LITTLE = Guarantee(0.01, 1.0)
+SMALL = replace(LIMITS, cpu=LITTLE, sockets=LITTLE, memory=LITTLE)
+
+
+def world() -> tuple[Api, Registry]:
+    its = (Key("admin", keys.digest_of(ADMINISTRATOR), Scope.ADMINISTRATOR, 0),
+           Key("reader", keys.digest_of(READER), Scope.READER, 0),
+           Key("old", keys.digest_of(OLD), Scope.ADMINISTRATOR, 0, NOW))
+    return Api(OPERATORS), made(tenant("sur", 1, keys=its), tenant("norte", 2))
+
+
+def handled(method: str, path: str, token: str = OPERATOR, body: Any = None, **headers: str) -> Any:
+    api, registry = world()
+    told = {"authorization": f"Bearer {token}"} | {name.replace("_", "-"): value for name, value in headers.items()}
+    path, _, query = path.partition("?")
+    pairs = dict(pair.split("=", 1) for pair in query.split("&")) if query else {}
+    return api.handle(Call(method, path, pairs, told, json.dumps(body).encode() if body is not None else b""),
+                      registry, NOW)
+
+
+@pytest.mark.parametrize(("token", "status"), [
+    (OLD, 401), ("", 401), (OPERATOR[:-1] + ("A" if OPERATOR[-1] != "A" else "B"), 401), (OPERATOR + "x", 401),
+    (OPERATOR.replace("tq1.-", "tq1.sur"), 401), (ADMINISTRATOR.replace("sur", "norte"), 401),
+    (ADMINISTRATOR.replace("admin", "reader"), 401), ("tq1.nobody.x." + "A" * 43, 401), ("\u00e9" * 60, 401),
+    (READER, 200), (ADMINISTRATOR, 200), (OPERATOR, 200),
+])
+def test_only_a_whole_and_valid_token_lets_in(token: str, status: int) -> None:
+    assert handled("GET", "/v1/tenants/sur", token).status == status
+
+
+@pytest.mark.parametrize("route", ROUTES, ids=lambda route: route.name)
+def test_nobody_reaches_another_tenant_nor_more_than_its_scope_allows(route: Any) -> None:
+    path = route.path.replace("{server}", "one").replace("{key}", "main")
+    foreign = path.replace("{tenant}", "norte")
+    for token in (READER, ADMINISTRATOR):
+        if "{tenant}" in path:
+            assert handled(route.method, foreign, token, {}, if_match="*").status == 403
+            assert handled(route.method, foreign.replace("norte", "nobody"), token, {}, if_match="*").status == 403
+    own = path.replace("{tenant}", "sur")
+    below = {Scope.OPERATOR: (READER, ADMINISTRATOR), Scope.ADMINISTRATOR: (READER,), Scope.READER: ()}[route.scope]
+    for token in below:
+        assert handled(route.method, own, token, {}, if_match="*").status == 403
+    assert handled(route.method, own, "nonsense", {}).status == 401
+
+
+@pytest.mark.parametrize("path", ["", "/", "//v1/tenants", "/v1/tenants/", "/v1/../v1/tenants", "/v1/tenants/%73ur",
+                                  "/v1/tenants/sur%00", "/v1/tenants/sur/../norte", "/v1/tenants/SUR",
+                                  "/v1/tenants/sur;x",
+                                  "/v1/tenants/" + "a" * 400, "/v2/tenants", "/v1/tenants/sur/keys/x/y/z", "*"])
+def test_odd_paths_lead_nowhere(path: str) -> None:
+    assert handled("GET", path).status == 404
+
+
+def test_a_method_that_a_path_has_not_is_told_which_it_has() -> None:
+    found = handled("PATCH", "/v1/tenants/sur")
+    assert found.status == 405 and found.headers["allow"] == "GET, PUT, DELETE"
+
+
+def test_a_change_wants_the_version_that_it_is_meant_for() -> None:
+    path, body = "/v1/tenants/sur/limits", plain(document_of(tenant("sur")))["limits"]
+    assert handled("PUT", path, body=body).status == 428
+    stale = handled("PUT", path, body=body, if_match='"99"')
+    assert stale.status == 412 and stale.headers["etag"] == '"1"'
+    assert handled("PUT", path, body=body, if_match="yesterday").status == 400
+    for told in ('"1"', "*", '"7", "1"'):
+        assert isinstance(handled("PUT", path, body=body, if_match=told), Proposal)
+
+
+def test_a_page_ends_where_the_next_begins() -> None:
+    api, registry = Api(OPERATORS), Registry()
+    for n in range(7):
+        registry = registry.changed(Make(tenant(f"t{n}", n, keys=(), limits=SMALL)))
+    seen: list[str] = []
+    query: dict[str, str] = {"limit": "3"}
+    while True:
+        told = Call("GET", "/v1/tenants", query, {"authorization": f"Bearer {OPERATOR}"})
+        found = api.handle(told, registry, NOW)
+        assert isinstance(found, Reply)
+        seen += [one["tenant"]["name"] for one in found.body["tenants"]]
+        if "next" not in found.body:
+            break
+        query = {"limit": "3", "cursor": found.body["next"]}
+    assert seen == [f"t{n}" for n in range(7)]
+    for wrong in ("cursor=%%%", "limit=x"):
+        assert handled("GET", f"/v1/tenants?{wrong}").status == 400
+    mine = handled("GET", "/v1/tenants", READER).body["tenants"]
+    assert [one["tenant"]["name"] for one in mine] == ["sur"]  # of the others it does not even learn the names
+    look = handled("GET", "/v1/changes?after=3&wait_s=999", READER)
+    assert look == Look("changes", 3, 50, 60 * SECOND, "sur")
+
+
+def test_a_cache_host_that_a_change_adds_is_cold_from_then_on_and_a_known_one_keeps_its_start() -> None:
+    body = {"servers": [{"name": "one", "place": "127.0.1.1:11211"}, {"name": "new", "place": "10.9.9.9:1"},
+                        {"name": "old", "place": "10.9.9.8:1", "started_ms": 5}]}
+    found = handled("PUT", "/v1/tenants/sur/servers", ADMINISTRATOR, body, if_match="*")
+    assert [server.started for server in found.change.servers] == [0, NOW, 5 * MS]
+
+
+def test_keys_are_shown_once_and_a_rotation_lets_the_old_one_go_on_for_the_overlap() -> None:
+    found = handled("POST", "/v1/tenants/sur/keys/admin/rotate", ADMINISTRATOR, {"name": "admin-2", "overlap_s": 60})
+    api, registry = world()
+    after = registry.changed(found.change)
+    reply = found.reply(after)
+    token = reply.body["token"]
+    kept = {key.name: key for key in after.tenants["sur"].tenant.keys}
+    assert token not in repr(kept) and kept["admin-2"].digest == keys.digest_of(token)
+    assert kept["admin"].until == NOW + 60 * SECOND and kept["admin-2"].scope is Scope.ADMINISTRATOR
+    assert "old" not in kept  # what has expired makes room
+    assert keys.who(token, after, OPERATORS, NOW).key == "admin-2"
+    assert keys.who(ADMINISTRATOR, after, OPERATORS, NOW + 59 * SECOND).key == "admin"
+    with pytest.raises(keys.Denied):
+        keys.who(ADMINISTRATOR, after, OPERATORS, NOW + 60 * SECOND)
+    assert "digest" not in json.dumps(handled("GET", "/v1/tenants/sur/keys", ADMINISTRATOR).body)
+
+
+def test_the_description_has_each_route_and_each_reference_leads_somewhere() -> None:
+    told = description()
+    assert {(path, method.upper()) for path, methods in told["paths"].items() for method in methods} == {
+        (route.path, route.method) for route in ROUTES}
+    text = json.dumps(told)
+    for part in text.split('"#/components/schemas/')[1:]:
+        assert part.partition('"')[0] in told["components"]["schemas"]
+    assert told["components"]["schemas"]["TenantDocument"]["required"] == ["name", "listeners", "profiles"]
+    for route in ROUTES:
+        operation = told["paths"][route.path][route.method.lower()]
+        assert ("requestBody" in operation) == (route.takes is not None)
+        assert (len(operation["operationId"]), str(route.status) in operation["responses"]) > (0, False)
+
+
+def test_a_plan_shows_what_differs_and_nothing_where_nothing_does() -> None:
+    file = read(TenantDocument, TOLD)
+    there = [{"version": 4, "state": "active", "tenant": plain(document_of(tenant_of(file)))}]
+    assert planned([(file, "active")], there) == []
+    there[0]["tenant"]["servers"][0]["started_ms"] = 77  # stamped by the API; the file does not tell of it
+    there[0]["tenant"]["limits"]["burst"] = 3
+    steps = planned([(file, "suspended")], there)
+    assert [(s.kind, s.version, s.lines) for s in steps] == [
+        ("replace", 4, ("limits.burst: 3 -> 500",)), ("state", -1, ("state: active -> suspended",))]
+    other = there[0] | {"tenant": there[0]["tenant"] | {"name": "norte"}}
+    steps = planned([(file, "active")], [other], remove=True)
+    assert [(s.kind, s.tenant) for s in steps] == [("end", "norte"), ("make", "sur")]
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -34,7 +34,8 @@
 from tests.test_judge import QUIET, Right
 
 DAYS = {"calm", "slow-origin", "silent-host", "crash-fifth", "rolling-release", "hot-key", "burst", "discovery-down",
-        "stale-list", "garbling", "resets", "balancer-killed", "planned-restarts", "reload", "all-together"}
+        "stale-list", "garbling", "resets", "balancer-killed", "planned-restarts", "reload", "all-together", "tenants",
+        "tenants-changes", "tenants-shared-cold"}
 
 
 def rig(*words: str) -> tuple[int, str]:
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,305 @@
+"""The store under crashes: kill -9 at every step, torn and spoilt logs, full and read-only disks, repeated calls."""
+
+import os
+import shutil
+import signal
+import sqlite3
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.task import Clock
+
+from ternquay.hosted import keys
+from ternquay.hosted.api import Api, Call, Reply
+from ternquay.hosted.changes import Keeper
+from ternquay.hosted.registry import Make, Registry
+from ternquay.hosted.store import Commit, Logged, Noted, Store, StoreError
+from ternquay.hosted.tenant import Key, Scope
+from tests.hosted_helper import document
+from tests.test_hosted_parts import SMALL
+from tests.test_registry import tenant
+
+OPERATOR = keys.made("", "main")
+OPERATORS = (Key("main", keys.digest_of(OPERATOR), Scope.OPERATOR, 0),)
+NOW = 1_800_000_000 * 10**9
+
+
+class Direct:
+    """The store without its thread."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+
+    def do(self, what: Callable[..., Any], *terms: Any) -> "Deferred[Any]":
+        return maybeDeferred(what, *terms)
+
+
+class Applied:
+    """Whoever runs the tenants, as far as the keeper sees it."""
+
+    def __init__(self, registry: Registry, step: Callable[[str], None]) -> None:
+        self.registry, self.step = registry, step
+
+    def prepare(self, registry: Registry, tenant: str) -> "Applied":
+        self.step("prepared")
+        return self
+
+    def drop(self) -> None:
+        pass
+
+    def apply(self, registry: Registry, tenant: str, prepared: Any) -> None:
+        self.step("applying")
+        self.registry = registry
+        self.step("applied")
+
+    def process(self) -> dict[str, Any]:
+        return {}
+
+
+def keeper(path: Path, step: Callable[[str], None] = lambda what: None) -> Keeper:
+    store = Store(path, step)
+    applier: Any = Applied(store.registry(), step)
+    direct: Any = Direct(store)
+    return Keeper(Clock(), Api(OPERATORS), applier, direct, lambda: NOW)
+
+
+def answer(one: Keeper, call: Call) -> Reply:
+    found: list[Reply] = []
+    one.call(call).addCallback(found.append)
+    return found[0]
+
+
+def call(method: str, path: str, body: Any, key: str = "") -> Call:
+    headers = {"authorization": f"Bearer {OPERATOR}", "if-match": "*"} | ({"idempotency-key": key} if key else {})
+    return Call(method, path, {}, headers, orjson.dumps(body) if body is not None else b"", "127.0.0.1")
+
+
+NONE = {part: {"least": 0.0, "most": 1.0} for part in ("cpu", "sockets", "memory")}
+CALLS = [
+    call("POST", "/v1/tenants", document("sur", "127.0.0.1:7001", ("10.0.0.1:80",)), "a"),
+    call("POST", "/v1/tenants", document("norte", "127.0.0.1:7002", ("10.0.0.1:80",)), "b"),
+    call("PUT", "/v1/tenants/sur/servers", {"servers": [{"name": "x", "place": "10.0.0.2:80"}]}, "c"),
+    call("PUT", "/v1/tenants/sur/state", {"state": "suspended"}, "d"),
+    call("POST", "/v1/tenants/norte/keys", {"name": "k", "scope": "reader"}, "e"),
+    call("DELETE", "/v1/tenants/norte", None, "f"),
+]
+
+
+def whole(registry: Registry) -> Any:
+    """All that a registry says, but the digests of keys, which are drawn anew."""
+    return registry.version, {
+        name: (entry.version, entry.incarnation, replace(
+            entry.tenant, keys=tuple(replace(key, digest=b"") for key in entry.tenant.keys)))
+        for name, entry in registry.tenants.items()}
+
+
+def test_killed_at_every_step_of_a_change_there_is_all_of_it_or_none(tmp_path: Path) -> None:
+    steps: list[str] = []
+    expected, replies = [whole(Registry())], []
+    one = keeper(tmp_path / "whole.db", steps.append)
+    steps.clear()
+    for told in CALLS:
+        replies.append(answer(one, told))
+        expected.append(whole(one.applier.registry))
+    assert [reply.status for reply in replies] == [201, 201, 200, 200, 201, 202] and len(steps) == 6 * 11
+    halves = 0
+    for last in range(1, len(steps) + 1):
+        path = tmp_path / f"{last}.db"
+        Store(path).close()
+        acknowledged = until_killed(path, last)
+        again = keeper(path)
+        found = whole(again.applier.registry)
+        assert found in expected, f"half of a change after step {last}, {steps[last - 1]}"
+        done = expected.index(found)
+        assert acknowledged <= done <= acknowledged + 1
+        halves += done > acknowledged
+        # Whoever got no answer calls again, and whoever did may: each is answered as it was, or would have been.
+        for n, told in enumerate(CALLS):
+            reply = answer(again, told)
+            assert reply.status == replies[n].status
+            assert ("idempotency-replayed" in reply.headers) == (n < done)
+            kept = {name: value for name, value in replies[n].body.items() if name != "token"}
+            assert {name: value for name, value in reply.body.items() if name != "token"} == kept
+        assert whole(again.applier.registry) == whole(again.stored.store.registry()) == expected[-1]
+        assert [one.version for one in again.stored.store.changes(0, 100)] == [1, 2, 3, 4, 5, 6]
+        again.stored.store.close()
+    assert halves >= len(CALLS)  # stored and not answered yet: the repeated call finds its answer
+
+
+def until_killed(path: Path, last: int) -> int:
+    """Makes the changes in a process that is killed at its `last` step; how many it acknowledged."""
+    reader, writer = os.pipe()
+    child = os.fork()
+    if child == 0:
+        try:
+            left = [last]
+
+            def step(what: str) -> None:
+                left[0] -= 1
+                if not left[0]:
+                    os.kill(os.getpid(), signal.SIGKILL)
+
+            one = keeper(path, step)
+            for told in CALLS:
+                if answer(one, told).status < 300:
+                    os.write(writer, b"x")
+        finally:
+            os._exit(7)
+    os.close(writer)
+    _, status = os.waitpid(child, 0)
+    assert os.WIFSIGNALED(status) and os.WTERMSIG(status) == signal.SIGKILL
+    with os.fdopen(reader, "rb") as told_by:
+        return len(told_by.read())
+
+
+def changed(store: Store, many: int) -> list[Any]:
+    """Tenants made one by one; what the registry says after each."""
+    registry = store.registry()
+    seen = [whole(registry)]
+    for n in range(many):
+        one = tenant(f"t{n}", n + 1, limits=SMALL)
+        registry = registry.changed(Make(one))
+        store.commit(Commit(Logged(registry.version, NOW, "me", one.name, "make", b"{}"),
+                            registry.tenants[one.name]))
+        seen.append(whole(registry))
+    return seen
+
+
+def test_a_log_that_is_torn_or_spoilt_anywhere_gives_what_was_whole(tmp_path: Path) -> None:
+    base = tmp_path / "base.db"
+    store = Store(base)
+    seen = changed(store, 4)
+    wal = Path(f"{base}-wal").read_bytes()
+    data = base.read_bytes()
+    store.close()
+    found: list[int] = []
+    for cut in (*range(0, len(wal), 997), len(wal)):
+        for spoilt in (False, True):
+            path = tmp_path / "torn.db"
+            for old in tmp_path.glob("torn.db*"):
+                old.unlink()
+            path.write_bytes(data)
+            torn = bytearray(wal if spoilt else wal[:cut])
+            if spoilt and cut < len(torn):
+                torn[cut] ^= 0xFF
+            Path(f"{path}-wal").write_bytes(torn)
+            again = Store(path)
+            state = whole(again.registry())
+            assert state in seen
+            found.append(seen.index(state))
+            # It goes on from there, and the versions only rise.
+            changed_to = again.registry().changed(Make(tenant("after", 99, limits=SMALL)))
+            again.commit(Commit(Logged(changed_to.version, NOW, "me", "after", "make", b"{}"),
+                                changed_to.tenants["after"]))
+            again.close()
+    assert set(found) >= {0, 4} and len(set(found)) > 2
+
+
+def test_a_full_disk_turns_a_change_away_and_a_later_one_goes_in(tmp_path: Path) -> None:
+    one = keeper(tmp_path / "full.db")
+    assert answer(one, CALLS[0]).status == 201
+    db = one.stored.store.db
+    pages = db.execute("PRAGMA page_count").fetchone()[0]
+    db.execute(f"PRAGMA max_page_count = {pages}")
+    big = document("norte", "127.0.0.1:7002", tuple(f"10.1.{n // 250}.{n % 250}:80" for n in range(900)))
+    before = whole(one.applier.registry)
+    reply = answer(one, call("POST", "/v1/tenants", big))
+    assert reply.status == 507 and whole(one.applier.registry) == before == whole(one.stored.store.registry())
+    assert answer(one, call("GET", "/v1/tenants/sur", None)).status == 200
+    db.execute("PRAGMA max_page_count = 100000")
+    assert answer(one, call("POST", "/v1/tenants", big)).status == 201
+
+
+def test_a_read_only_disk_turns_changes_away(tmp_path: Path) -> None:
+    one = keeper(tmp_path / "ro.db")
+    assert answer(one, CALLS[0]).status == 201
+    one.stored.store.db.execute("PRAGMA query_only = ON")
+    assert answer(one, CALLS[2]).status == 507 and answer(one, call("GET", "/v1/tenants/sur", None)).status == 200
+    one.stored.store.db.execute("PRAGMA query_only = OFF")
+    assert answer(one, CALLS[2]).status == 200
+
+
+def test_what_is_no_store_or_is_another_process_says_so(tmp_path: Path) -> None:
+    (tmp_path / "text.db").write_text("this is no database, though it is long enough to be one" * 99)
+    with pytest.raises(StoreError, match=r"text\.db"):
+        Store(tmp_path / "text.db")
+    with pytest.raises(StoreError):
+        Store(tmp_path / "nowhere" / "x.db")
+    first = Store(tmp_path / "mine.db")
+    first.note([Noted(1, "", "", "", 401, "")])
+    with pytest.raises(StoreError, match="locked"):
+        Store(tmp_path / "mine.db")
+    first.close()
+    db = sqlite3.connect(tmp_path / "mine.db")
+    db.execute("UPDATE meta SET value = 9 WHERE name = 'format'")
+    db.commit()
+    db.close()
+    with pytest.raises(StoreError, match="format 9"):
+        Store(tmp_path / "mine.db")
+
+
+def test_a_tenant_that_can_not_be_read_is_not_passed_over(tmp_path: Path) -> None:
+    store = Store(tmp_path / "x.db")
+    changed(store, 2)
+    store.db.execute("UPDATE tenants SET body = '{}' WHERE name = 't1'")
+    with pytest.raises(StoreError, match="can't be read"):
+        store.registry()
+    store.close()
+    shutil.rmtree(tmp_path)
+
+
+def test_a_version_is_never_given_out_twice(tmp_path: Path) -> None:
+    store = Store(tmp_path / "x.db")
+    changed(store, 2)
+    with pytest.raises(StoreError, match="version 2 is there already"):
+        store.commit(Commit(Logged(2, NOW, "me", "t9", "make", b"{}"), None))
+    assert store.registry().version == 2
+
+
+def test_a_key_of_a_call_is_bound_to_it_and_to_whoever_called(tmp_path: Path) -> None:
+    one = keeper(tmp_path / "x.db")
+    first = answer(one, CALLS[0])
+    again = answer(one, CALLS[0])
+    assert again.body == first.body and again.headers["idempotency-replayed"] == "true"
+    other = call("POST", "/v1/tenants", document("otro", "127.0.0.1:7009"), "a")
+    assert answer(one, other).status == 422
+    assert one.applier.registry.version == 1
+    assert answer(one, call("POST", "/v1/tenants", document("otro", "127.0.0.1:7009"), "\n")).status == 400
+
+
+def test_denied_calls_are_noted_and_alike_ones_make_one_line(tmp_path: Path) -> None:
+    one = keeper(tmp_path / "x.db")
+    for n in range(5000):
+        wrong = Call("GET", f"/v1/tenants/t{n % 3000}", {}, {"authorization": "Bearer tq1.-.main." + "A" * 43}, b"",
+                     "127.0.0.9")
+        assert answer(one, wrong).status == 401
+    assert len(one.notes) <= 1001
+    one.reactor.advance(1.0)
+    rows = [noted for _, noted in one.stored.store.audit(0, 5000)]
+    assert sum(noted.many for noted in rows) == 5000 and {noted.status for noted in rows} == {401}
+    assert {noted.who for noted in rows} <= {"-.main", ""} and "AAAA" not in repr(rows)
+
+
+def test_too_many_changes_at_once_are_told_to_come_back(tmp_path: Path) -> None:
+    one = keeper(tmp_path / "x.db")
+    held: list[Deferred[Any]] = []
+
+    def later(what: Callable[..., Any], *terms: Any) -> "Deferred[Any]":
+        held.append(Deferred())
+        return held[-1].addCallback(lambda _: what(*terms))
+
+    one.stored.do = later  # type: ignore[method-assign]
+    replies: list[Reply] = []
+    for n in range(100):
+        told = call("POST", "/v1/tenants", document(f"t{n}", f"127.0.0.1:{7000 + n}", limits=NONE))
+        one.call(told).addCallback(replies.append)
+    assert [reply.status for reply in replies] == [503] * 35
+    while held:
+        held.pop(0).callback(None)
+    assert sorted(reply.status for reply in replies) == [201] * 65 + [503] * 35
+    assert one.applier.registry.version == 65
