Shares are called shares; the shared loop and a part of a cold host's budget are tested

Need: what one deployment's settings call tenants are its shares, and hosted tenants are not these. Change: the names in the decisions and at the door, wire words excepted; tests of the loop in turns of a clock of their own.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -421,8 +421,8 @@
             tx.give_up = min(tx.goal, end)
         self.arrived += 1
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
-        if 0 <= e.tenant < len(self.shares):
-            tx.over = self._over_share(e.tenant)
+        if 0 <= e.share < len(self.shares):
+            tx.over = self._over_share(e.share)
         if e.key is not None:
             tx.key = text_hash(e.key)
             tx.range = self._count(tx.key)
@@ -439,11 +439,11 @@
             return 0
         return profile.hard_limit - e.ttl if e.ttl < usual - MS else 0
 
-    def _over_share(self, tenant: int) -> bool:
-        rate = self.shares[tenant]
+    def _over_share(self, share: int) -> bool:
+        rate = self.shares[share]
         depth = max(SHARE_LEAST, SHARE_SPAN * rate)  # never under one whole transaction
-        left = min(depth, self.share_left[tenant] + rate * (self.now - self.share_at[tenant]) / SECOND)
-        self.share_at[tenant], self.share_left[tenant] = self.now, left if left < 1.0 else left - 1.0
+        left = min(depth, self.share_left[share] + rate * (self.now - self.share_at[share]) / SECOND)
+        self.share_at[share], self.share_left[share] = self.now, left if left < 1.0 else left - 1.0
         return left < 1.0
 
     def _route(self, tx: Tx) -> None:
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -39,6 +39,6 @@
 
     def __init__(self, facts: dict[str, Any]) -> None:
         self.profiles = {p["Name"]: i for i, p in enumerate(facts["Profiles"])}
-        self.tenants = {t["Name"]: i for i, t in enumerate(facts.get("Tenants") or [])}
+        self.shares = {t["Name"]: i for i, t in enumerate(facts.get("Tenants") or [])}
         self.zones = {z: i for i, z in enumerate(facts.get("Zones") or [])}
         self.kinds = {k: i for i, k in enumerate(facts.get("Kinds") or [])}
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -81,7 +81,7 @@
 def names_of(tenant: Tenant, zones: Numbers) -> Names:
     names = Names({"Profiles": [{"Name": one.name} for one in tenant.profiles],
                    "Tenants": [{"Name": share.name} for share in tenant.shares]})
-    names.tenants[CROWDING] = len(tenant.shares)
+    names.shares[CROWDING] = len(tenant.shares)
     names.zones = zones
     return names
 
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -1,6 +1,6 @@
 """What can happen to a balancer and what it can ask for, in the project's words.
 
-Times are whole nanoseconds on the clock that the caller hands in. A tx, a cache host, a profile, a tenant, a
+Times are whole nanoseconds on the clock that the caller hands in. A tx, a cache host, a profile, a share, a
 zone and a kind are small indices given out at the door by whoever calls the decisions.
 """
 
@@ -64,7 +64,7 @@
     balancers: int
     number: int  # its own among them, from 0
     profiles: tuple[Profile, ...]
-    quotas: tuple[float, ...]  # transactions a second within the share, by tenant
+    quotas: tuple[float, ...]  # transactions a second, by share
     aside: bool
     origin_kind: int
     watch_list: bool
@@ -110,7 +110,7 @@
 class TxArrived:
     tx: int
     profile: int
-    tenant: int  # -1: none
+    share: int  # -1: none
     key: str | None
     ttl: int
     again: bool
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -49,7 +49,7 @@
 @dataclass(slots=True, frozen=True)
 class Arrival:
     profile: str
-    tenant: str
+    share: str
     key: str
     ttl: int
     again: bool
@@ -196,7 +196,7 @@
             ttl, again = max(0, self.ends_at - self.now()), False
         # The decisions answer in time; this is against one that they forget.
         tx.call = self.later(self.now() + ttl, self._overdue, tx)
-        self.happened(m.TxArrived(tx.id, profile, self.names.tenants.get(arrival.tenant, -1), arrival.key,
+        self.happened(m.TxArrived(tx.id, profile, self.names.shares.get(arrival.share, -1), arrival.key,
                                   ttl, again, arrival.write))
         return tx.id
 
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -65,7 +65,7 @@
     write: bool
     key: int = 0
     range: Range | None = None
-    over: bool = False  # beyond its tenant's share
+    over: bool = False  # beyond its share
     goal: int = 0
     give_up: int = 0
     hops: list[Hop] = field(default_factory=list)
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -60,7 +60,7 @@
         self.txs[word] = tx
         self.words[tx] = word
         return m.TxArrived(tx, self.names.profiles[e["Type"]],
-                           self.names.tenants.get(e.get("Realm") or "", -1), e.get("Subject"), e["Ttl"] * US,
+                           self.names.shares.get(e.get("Realm") or "", -1), e.get("Subject"), e["Ttl"] * US,
                            bool(e.get("IsRetry")), bool(e.get("Mutates")))
 
     def reply(self, e: dict[str, Any]) -> m.Event | None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -85,10 +85,10 @@
         said = " ".join(f"{x.host}={x.standing.name.lower()}" for x in lines)
         self.feed(f"list {said}", m.ListChanged(whole, lines))
 
-    def arrive(self, key: str | None = "a", profile: int = 0, tenant: int = -1, ttl: int = 900,
+    def arrive(self, key: str | None = "a", profile: int = 0, share: int = -1, ttl: int = 900,
                again: bool = False) -> int:
         self.tx += 1
-        event = m.TxArrived(self.tx, profile, tenant, key, ttl * MS, again, profile > 0)
+        event = m.TxArrived(self.tx, profile, share, key, ttl * MS, again, profile > 0)
         self.feed(f"tx {self.tx} profile {profile} key {key}", event)
         return self.tx
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -120,15 +120,15 @@
     p.matches("goal_passed")
 
 
-def test_beyond_its_share_a_tenant_needs_more_room() -> None:
+def test_what_is_beyond_its_share_needs_more_room() -> None:
     p = Play(1)
     settle(p, pause=400)
     p.end(p.arrive("k1"), m.End.DONE, took=300)
     for _ in range(10):
-        tx = p.arrive("k1", tenant=0)
+        tx = p.arrive("k1", share=0)
         if tx in p.hops:
             p.end(tx, m.End.DONE, took=68)
-    p.arrive("k1", tenant=1)
+    p.arrive("k1", share=1)
     p.matches("share")
 
 
@@ -297,7 +297,7 @@
     p = Play(2, quotas=(40.0,), balancers=200)
     over = []
     for _ in range(12):
-        tx = p.arrive("k1", tenant=0)
+        tx = p.arrive("k1", share=0)
         over.append(p.balancer.txs[tx].over)
         p.end(tx, m.End.DONE)
         p.run(4000)
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -8,15 +8,19 @@
 import pytest
 
 from ternquay import model as m
+from ternquay.balance import Balancer
 from ternquay.hosted import keys
 from ternquay.hosted.api import ROUTES, Api, Call, Look, Proposal, Reply
 from ternquay.hosted.documents import TenantDocument, decoded, document_of, plain, read, tenant_of
 from ternquay.hosted.fairness import SECOND, Ceiling, Dues, Lent, Part, Turns
 from ternquay.hosted.ledger import FAILS, GONE_KEPT, Ledger, Named
+from ternquay.hosted.loop import Loop
 from ternquay.hosted.openapi import description
 from ternquay.hosted.plan import planned
 from ternquay.hosted.registry import Make, Registry
 from ternquay.hosted.tenant import Guarantee, Key, Place, Scope, Unfit
+from ternquay.net.turn import Turn
+from tests.helper import START, T0
 from tests.hosted_helper import document
 from tests.test_registry import LIMITS, made, tenant
 
@@ -371,3 +375,162 @@
     other = there[0] | {"tenant": there[0]["tenant"] | {"name": "norte"}}
     steps = planned([(file, "active")], [other], remove=True)
     assert [(s.kind, s.tenant) for s in steps] == [("end", "norte"), ("make", "sur")]
+
+
+# ---- the shared loop ----
+
+
+class Time:
+    """A reactor's clock and calls, in turns of which each takes what is due at its begin; and works that take time."""
+
+    def __init__(self) -> None:
+        self.at = 0
+        self.calls: list[tuple[int, Any, tuple[Any, ...]]] = []
+        self.turn = Turn(SECOND)
+        self.loop = Loop(self, self.now, self.turn)
+        self.had: dict[str, int] = {}
+
+    def now(self) -> int:
+        return self.at
+
+    def callLater(self, delay: float, what: Any, *terms: Any) -> int:
+        self.calls.append((self.at + int(delay * SECOND), what, terms))
+        return len(self.calls)
+
+    def run(self, turns: int, pause: int = 0) -> None:
+        for _ in range(turns):
+            self.at += pause
+            self.turn.begins(self.at)
+            due = [call for call in self.calls if call[0] <= self.at]
+            self.calls = [call for call in self.calls if call[0] > self.at]
+            for _, what, terms in due:
+                what(*terms)
+
+
+class Endless:
+    """Something that always has more to be read, so many nanoseconds a piece."""
+
+    def __init__(self, time: Time, name: str, took: int, most: int = 1 << 30) -> None:
+        self.time, self.name, self.took, self.most = time, name, took, most
+
+    def piece(self) -> bool:
+        self.time.at += self.took
+        self.time.had[self.name] = self.time.had.get(self.name, 0) + self.took
+        self.most -= 1
+        return self.most > 0
+
+
+def test_tenants_that_flood_share_the_loop_by_weight_and_clients_of_one_evenly() -> None:
+    time = Time()
+    time.loop.settle({"a": (1.0, 1.0), "b": (3.0, 1.0)})
+    for _ in range(50):  # one client with fifty connections, and one with one
+        time.loop.ready("a", "many", Endless(time, "many", MS // 2))
+    time.loop.ready("a", "few", Endless(time, "few", 2 * MS))
+    time.loop.ready("b", "x", Endless(time, "b", MS))
+    time.run(2000)
+    whole = sum(time.had.values())
+    assert abs(time.had["b"] / whole - 0.75) < 0.02
+    assert abs(time.had["few"] / (time.had["many"] + time.had["few"]) - 0.5) < 0.03
+
+
+def test_one_that_comes_now_and_then_is_read_before_the_floods_next_pieces() -> None:
+    time = Time()
+    time.loop.settle({"flood": (1.0, 1.0), "calm": (1.0, 1.0)})
+    for _ in range(20):
+        time.loop.ready("flood", "f", Endless(time, "flood", 3 * MS))
+    time.run(50)
+    waits = []
+    for _ in range(30):
+        assert not time.loop.at_once("calm")  # as others wait, it waits for its turn too
+        began, before = time.now(), time.had.get("calm", 0)
+        time.loop.ready("calm", "c", Endless(time, "calm", MS, most=1))
+        while time.had.get("calm", 0) == before:
+            time.run(1)
+        waits.append(time.now() - began)
+        time.run(10)
+    assert max(waits) <= 8 * MS
+
+
+def test_a_tenant_at_its_ceiling_pauses_and_what_it_costs_elsewhere_counts() -> None:
+    time = Time()
+    time.loop.settle({"a": (1.0, 0.2)})
+    assert time.loop.at_once("a")
+    time.loop.ready("a", "x", Endless(time, "a", MS))
+    began = time.now()
+    time.run(3000, MS)
+    part = time.had["a"] / (time.now() - began)
+    assert 0.17 <= part <= 0.22
+    time.loop.charge("a", SECOND)
+    assert not time.loop.at_once("a") and time.loop.parts["a"].spent >= SECOND
+    before = time.had["a"]
+    time.run(10)
+    assert time.had["a"] - before <= 2 * MS
+
+
+def test_what_is_dropped_while_it_waits_is_not_read_and_a_tenant_that_is_gone_leaves_nothing() -> None:
+    time = Time()
+    time.loop.settle({"a": (1.0, 1.0), "b": (1.0, 1.0)})
+    work = Endless(time, "dropped", MS)
+    time.loop.ready("a", "x", work)
+    time.loop.drop("a", "x", work)
+    time.loop.drop("a", "x", work)
+    time.loop.ready("b", "y", Endless(time, "b", MS, most=2))
+    time.run(20)
+    assert time.had == {"b": 2 * MS} and not time.loop.turns.waiting
+    time.loop.ready("b", "y", Endless(time, "gone", MS))
+    time.loop.settle({"a": (1.0, 1.0)})
+    time.loop.ready("b", "y", Endless(time, "gone", MS))
+    time.loop.charge("b", MS)
+    time.run(20)
+    assert "gone" not in time.had and set(time.loop.parts) == {"a"} and not time.loop.at_once("b")
+
+
+def test_a_work_that_drops_the_others_beside_it_goes_on_alone() -> None:
+    time = Time()
+    time.loop.settle({"a": (1.0, 1.0)})
+    other = Endless(time, "other", MS)
+
+    class Dropping(Endless):
+        def piece(self) -> bool:
+            time.loop.drop("a", "x", other)
+            return super().piece()
+
+    time.loop.ready("a", "x", Dropping(time, "it", MS, most=5))
+    time.loop.ready("a", "x", other)
+    time.run(20)
+    assert time.had == {"it": 5 * MS} and not time.loop.parts["a"].works
+
+
+# ---- a part of a cold host's budget ----
+
+
+def test_tenants_that_share_a_cold_host_send_it_together_what_one_might() -> None:
+    def sent(part: float) -> int:
+        balancer = Balancer(replace(START, balancers=1, tip_window=10 * SECOND, warm_within=100 * SECOND))
+        balancer.unit_rate = 20.0
+        line = m.Listed(0, "a", 0, 0, 0, m.Standing.READY, 1.0, T0 - 1, part)
+        balancer.decide(T0, m.ListChanged(True, (line,)))
+        hops = 0
+        for n in range(200):
+            for action in balancer.decide(T0 + n * MS, m.TxArrived(n, 0, -1, f"k{n}", 900 * MS, False, False)):
+                if isinstance(action, m.SendHop):
+                    hops += 1
+                    balancer.decide(T0 + n * MS, m.HopEnded(n, 0, m.End.DONE, MS, True, 1))
+        return hops
+
+    alone, quarter = sent(1.0), sent(0.25)
+    assert alone >= 40 and quarter <= alone // 4 + 1 and quarter > 0
+
+
+def test_other_figures_are_for_what_comes_and_what_is_open_ends_by_those_it_was_taken_with() -> None:
+    balancer = Balancer(START)
+    balancer.decide(T0, m.ListChanged(True, tuple(
+        m.Listed(n, f"h{n}", 0, 0, 0, m.Standing.READY, 1.0, 0) for n in range(3))))
+    sends = [a for a in balancer.decide(T0, m.TxArrived(1, 2, -1, "k", 900 * MS, False, True))
+             if isinstance(a, m.SendHop)]
+    assert len(sends) == 1  # a non-idempotent one is out
+    balancer.decide(T0 + MS, replace(START, profiles=(START.profiles[0],), quotas=()))
+    actions = balancer.decide(T0 + 2 * MS, m.HopEnded(1, 0, m.End.RESET, MS, False, 0))
+    assert any(isinstance(a, m.Abandon) for a in actions) and not any(isinstance(a, m.SendHop) for a in actions)
+    again = balancer.decide(T0 + 3 * MS, m.TxArrived(2, 0, 0, "k", 900 * MS, False, False))
+    assert any(isinstance(a, m.SendHop) for a in again)
