Shared loop in pieces of half a millisecond; connections with no room are closed before they are made

Cause: 16 accepted connections were one piece of 5 ms, and a flood of connections raised others' p99 by a fifth and more. Change: pieces are bounded by time, a look at the clock each 4 steps; a slice of a turn is 1.5 ms, where it was 3; who comes from an address that has its part is closed as it is accepted. rig size measures what tenants cost.

--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/front.py
@@ -1,6 +1,8 @@
 """Client connections of one tenant on the shared loop: read in pieces, in turn, as far as its limits have room."""
 
 from collections.abc import Callable
+from socket import SO_LINGER, SOL_SOCKET
+from struct import pack
 from typing import Any
 
 from twisted.internet.protocol import connectionDone
@@ -8,7 +10,7 @@
 from twisted.python.failure import Failure
 
 from ternquay.hosted.fairness import Dues, Lent
-from ternquay.hosted.loop import Loop
+from ternquay.hosted.loop import PIECE, Loop
 from ternquay.net import meta
 from ternquay.net.door import Door
 from ternquay.net.front import ClientConnection, Front, Owed
@@ -16,12 +18,13 @@
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import Turn
 
-PIECE = 16  # commands in one piece of work
+STEP = 4  # commands, or connections accepted, between two looks at the clock
 BACKLOG = 16 << 10  # bytes that wait unread on one connection before no more are read from it
 OWED_MOST = 1024  # answers that one connection waits for before no more is read from it
 OPEN_LEAST, OPEN_TIMES = 8, 1.5  # a client with more open than this, and than that many parts, crowds others
 OWN_LEAST, OWN_TIMES = 16, 4.0  # the same of one connection
 CROWDING = "\0"  # the share of who crowds others; no name on the wire is like it
+AT_ONCE = pack("ii", 1, 0)  # a close that waits for nothing
 ACCEPTS = "\0"  # the client in whose turns a tenant's new connections are accepted
 
 
@@ -105,20 +108,25 @@
         self.waits = False
         if self.ended or self.closing:
             return False
-        self.since = self.unread_since
-        self.front.busy(self)
-        items = self.machine.read(PIECE, self.over)
-        self.read(items)
-        if self.ended or self.closing:
-            return False
-        if len(self.owed) > OWED_MOST:
-            self.stuck = True
-            self.hold_back()
-            return False
-        self.waits = len(items) == PIECE
-        if not self.waits:
-            self.read_all()
-        return self.waits
+        clock = self.front.loop.clock
+        end = clock() + PIECE
+        while True:
+            self.since = self.unread_since
+            self.front.busy(self)
+            items = self.machine.read(STEP, self.over)
+            self.read(items)
+            if self.ended or self.closing:
+                return False
+            if len(self.owed) > OWED_MOST:
+                self.stuck = True
+                self.hold_back()
+                return False
+            if len(items) < STEP:
+                self.read_all()
+                return False
+            if clock() >= end:
+                self.waits = True
+                return True
 
     def read_all(self) -> None:
         """All that is whole was read. What lies in the system's buffer may be as old as this pause."""
@@ -185,6 +193,15 @@
         self.by_address.setdefault(client.address, mine)[client] = None
         super().came(client)
 
+    def crowded(self) -> bool:
+        """Whether all places are taken."""
+        return self.sockets.clients >= self.limits.clients
+
+    def takes(self, address: str) -> bool:
+        """Whether one more from there would get a place though all are taken."""
+        mine = len(self.by_address.get(address, ()))
+        return mine + 1 < max((len(those) for those in self.by_address.values()), default=0)
+
     def _make_room(self, mine: int) -> bool:
         """All places are taken: whoever has most of them loses one, unless that is who comes."""
         address = max(self.by_address, key=lambda a: len(self.by_address[a]), default="")
@@ -255,9 +272,12 @@
 
     front: TenantFront
     accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
-    numberAccepts = property(lambda self: self.front.room(), lambda self, count: None)
+    numberAccepts = property(lambda self: self.steps(), lambda self, count: None)
     paused = False
 
+    def steps(self) -> int:
+        return min(STEP, self.front.room())
+
     def doRead(self) -> None:
         if self.front.loop.at_once(self.front.name):
             self.front.loop.timed(self.front.name, self._accept)
@@ -275,7 +295,32 @@
                 self.startReading()
         return False
 
+    def turn_away(self) -> None:
+        """Closes those that come from an address with no room left, at a tenth of what it costs to take one in.
+
+        The library can't look at who comes before it has made all that a connection has.
+        """
+        while self.front.crowded() and not self.front.loop.late(PIECE):
+            try:
+                client, address = self.socket.accept()
+            except OSError:
+                return
+            if self.front.takes(address[0]):
+                self.take(client, address)
+            else:
+                client.setsockopt(SOL_SOCKET, SO_LINGER, AT_ONCE)
+                client.close()
+
+    def take(self, client: Any, address: Any) -> None:
+        """One that was accepted already, made as the library makes them."""
+        client.setblocking(False)
+        protocol = self.front.buildProtocol(self._buildAddr(address))
+        number = self.sessionno = self.sessionno + 1
+        made: Any = self.transport(client, protocol, address, self, number, self.reactor)  # type: ignore[arg-type]
+        protocol.makeConnection(made)
+
     def _accept(self) -> None:
-        most, before = self.front.room(), self.sessionno
+        self.turn_away()
+        most, before = self.steps(), self.sessionno
         super().doRead()
         self.accepted(self.sessionno - before >= most)
--- a/ternquay/hosted/loop.py
+++ b/ternquay/hosted/loop.py
@@ -14,7 +14,8 @@
 from ternquay.net.turn import Turn
 
 QUANTUM, CLIENT_QUANTUM = MS, MS // 2
-SLICE = 3 * MS  # of one turn of the reactor; others' answers and timers come after it
+SLICE = 3 * MS // 2  # of one turn of the reactor; others' answers and timers come after it
+PIECE = MS // 2  # of one piece of work, unless one step of it takes longer
 
 
 class Work(Protocol):
@@ -96,6 +97,10 @@
         now = self.clock()
         return now - self.turn.began < SLICE and not part.ceiling.wait(now)
 
+    def late(self, more: int) -> bool:
+        """Whether this turn of the reactor has lasted a slice and so much more."""
+        return self.clock() - self.turn.began > SLICE + more
+
     def ready(self, name: str, who: str, work: Work) -> None:
         """It waits until its turn comes."""
         part, now = self.parts.get(name), self.clock()
--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -206,6 +206,19 @@
     raise typer.Exit(BROKEN if found["breaches"] or found["crashes"] else 0)
 
 
+@app.command("size")
+def measure_size(out: Out, tenants: Annotated[int, typer.Option("--tenants", min=21, max=200)] = 200,
+                 active: Annotated[int, typer.Option("--active", min=2, max=100)] = 20,
+                 rounds: Annotated[int, typer.Option("--rounds", min=1, max=20)] = 2, seconds: Seconds = 10.0) -> None:
+    """What many tenants cost: changes and starts, memory of idle ones, CPU a transaction."""
+    with told_in_a_line():
+        from ternquay.rig.size import size
+        found = size(out, tenants, active, seconds or 10.0, rounds, show)
+        (out / "size.json").write_text(json.dumps(found, indent=1) + "\n")
+    show("")
+    typer.echo(json.dumps(found, indent=1))
+
+
 @app.command("saturate")
 def saturate_rate(out: Out, balancers: Annotated[int, typer.Option("--balancers", min=1, max=8)] = 1,
                   loads: Loads = 2, shards: Shards = 2,
--- a/ternquay/rig/tenants.py
+++ b/ternquay/rig/tenants.py
@@ -159,8 +159,8 @@
     hosted = Hosted(stage, day, seed, cores[0])
     hosted.prepare(seed)
     hosted.start()
-    standins = {party.terms.name: _standins(stage, party, seed, n, cores[2 + n]) for n, party in enumerate(owners)}
-    known = {name: running.told() for name, running in standins.items()}
+    fleets = {party.terms.name: standins(stage, party, seed, n, cores[2 + n]) for n, party in enumerate(owners)}
+    known = {name: running.told() for name, running in fleets.items()}
     for party in all:
         told = known[party.terms.fleet or party.terms.name]
         party.source = told["discovery"][party.number][0]
@@ -175,7 +175,7 @@
         one.told()
     time.sleep(1.0)  # the sources' lists have come
     begin = time.monotonic_ns() + 300 * MS
-    children = [*standins.values(), *loads.values(), *extra.values()]
+    children = [*fleets.values(), *loads.values(), *extra.values()]
     for running in children:
         running.say(f"begin {begin}\n")
     follow(day, begin, [], [hosted], children, progress)
@@ -183,7 +183,7 @@
     return _gathered(stage, day, seed, begin, all, hosted, extra)
 
 
-def _child(stage: Stage, name: str, module: str, core: int, plan: Plan) -> Running:
+def child(stage: Stage, name: str, module: str, core: int, plan: Plan) -> Running:
     saw = stage.out / f"{name}.saw"
     saw.unlink(missing_ok=True)
     path = stage.out / f"{name}.json"
@@ -191,18 +191,18 @@
     return stage.start(name, [sys.executable, "-m", module, str(path.resolve())], core)
 
 
-def _standins(stage: Stage, party: Party, seed: int, fleet: int, core: int) -> Running:
+def standins(stage: Stage, party: Party, seed: int, fleet: int, core: int) -> Running:
     day = party.day
     places = [free_place(f"127.{10 + fleet}.{n // 250}.{n % 250 + 1}") for n in range(day.hosts.count)]
     plan = Plan(day, seed + 1000 * fleet, "", epoch_ms=time.time_ns() // MS, places=places, tail_ms=tail_ms(day))
-    return _child(stage, f"standins-{party.terms.name}", "ternquay.rig.standins", core, plan)
+    return child(stage, f"standins-{party.terms.name}", "ternquay.rig.standins", core, plan)
 
 
 def _load(stage: Stage, party: Party, seed: int, number: int, core: int) -> Running:
     name = party.terms.name
     plan = Plan(party.day, seed + 1000 * number, "", balancers=[party.listen], tail_ms=tail_ms(party.day),
                 prefix=f"{name}-", addresses=[f"127.5.{number}.{n + 1}" for n in range(party.terms.addresses)])
-    return _child(stage, f"load-{name}", "ternquay.rig.load", core, plan)
+    return child(stage, f"load-{name}", "ternquay.rig.load", core, plan)
 
 
 def _extra(stage: Stage, day: Day, seed: int, all: list[Party], hosted: Hosted, core: int) -> dict[str, Running]:
@@ -213,12 +213,12 @@
         plan = FloodPlan(party.day, seed, "", balancers=[party.listen], tail_ms=tail_ms(day), flood=day.flood,
                          rate=day.flood.factor * party.terms.txs_a_second, api=hosted.api, profile=read.name,
                          keys=day.clients.keys, value_goal_ms=read.hard_limit_ms)
-        found["flood"] = _child(stage, "flood", "ternquay.rig.flood", core, plan)
+        found["flood"] = child(stage, "flood", "ternquay.rig.flood", core, plan)
     if day.changes.a_second:
         # One that nobody changes and nobody looks at, if there is one, is suspended and resumed.
         spare = next((t.name for t in day.tenants if t.name not in day.changes.tenants), "")
         change = ChangePlan(day, seed, "", changes=day.changes, api=hosted.api, token=hosted.token, suspended=spare)
-        found["changer"] = _child(stage, "changer", "ternquay.rig.changer", core, change)
+        found["changer"] = child(stage, "changer", "ternquay.rig.changer", core, change)
     return found
 
 
