--- a/ternquay/rig/standins/discovery.py
+++ b/ternquay/rig/standins/discovery.py
@@ -10,7 +10,7 @@
 
 from ternquay.rig import records
 from ternquay.rig.laws.listing import Entry, Listing
-from ternquay.rig.terms import MS, SECOND
+from ternquay.rig.terms import SECOND
 
 WAIT_MOST = 60_000
 GARBAGE = (b"", b"{", b'{"revision":"x","complete":true,"members":[{}]}', b"\xff\x00<html>", b"[]")
@@ -20,7 +20,6 @@
 class Watch:
     call: Request
     index: int
-    until: int
     balancer: int
 
 
@@ -94,10 +93,10 @@
             return self._write(balancer, listing.revision(now), True, listing.whole(now))
         if listing.revision(now) > index or not wait:
             return self._write(balancer, listing.revision(now), False, listing.since(now, index))
-        watch = Watch(call, index, now + wait * MS, balancer)
+        watch = Watch(call, index, balancer)
         self.watches.add(watch)
         call.notifyFinish().addErrback(lambda _: self.watches.discard(watch))
-        self.reactor.callLater(wait / 1000, self._look, watch)
+        self.reactor.callLater(wait / 1000, self._look, watch, True)
         return NOT_DONE_YET
 
     def changed(self, at: int) -> None:
@@ -108,9 +107,10 @@
         for watch in list(self.watches):
             self._look(watch)
 
-    def _look(self, watch: Watch) -> None:
+    def _look(self, watch: Watch, over: bool = False) -> None:
+        """Answers it if there is something new, or its time is over: it may have begun before the play's time did."""
         listing, now = self.listing(), self.now()
-        if watch not in self.watches or (listing.revision(now) <= watch.index and now < watch.until):
+        if watch not in self.watches or (listing.revision(now) <= watch.index and not over):
             return
         self.watches.discard(watch)
         if listing.garbage(now):
