--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -25,7 +25,7 @@
 from ternquay.net.serve import MonotonicReactor, pass_on
 from ternquay.net.turn import Turn
 
-SWEEP = 100 * MS
+SWEEP = 250 * MS
 WEIGHT_LEAST = 0.001  # of a tenant that was promised nothing
 OWN_DESCRIPTORS = 32  # standard streams, poll, wake-up, store, listeners of the API and a spare
 
