--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 from typing import Annotated, Any, get_args
 
-import msgspec
 import typer
 
 from ternquay.rig.compare import compare, table
@@ -20,7 +19,7 @@
 from ternquay.rig.results import write_result
 from ternquay.rig.saturate import saturate
 from ternquay.rig.survey import Job, against, by_day, survey
-from ternquay.rig.terms import Day, DayError, FloodShape, day_names, read_day
+from ternquay.rig.terms import Day, DayError, FloodShape, day_names, read_day, with_flood
 
 BROKEN, UNPLAYED, LATE = 1, 2, 3
 FLOODS = get_args(FloodShape)
@@ -135,10 +134,10 @@
 
 
 def flooded(day: Day, shape: str) -> Day:
-    """The day with another shape of its flood."""
+    """The day with another shape of its flood; raises DayError if there is none of that name."""
     if shape not in FLOODS:
         raise DayError(f"--flood: {shape}: there are {', '.join(FLOODS)}")
-    return msgspec.structs.replace(day, flood=msgspec.structs.replace(day.flood, shape=shape))
+    return with_flood(day, shape)
 
 
 @app.command("compare")
--- a/ternquay/rig/neighbours.py
+++ b/ternquay/rig/neighbours.py
@@ -9,21 +9,16 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
 import numpy as np
 
 from ternquay.rig.compare import LATE_AGAIN, interval
 from ternquay.rig.results import write_result
 from ternquay.rig.tenants import play_tenants
-from ternquay.rig.terms import Day
+from ternquay.rig.terms import Day, with_flood
 
 NONE = "none"
 
 
-def with_flood(day: Day, shape: str) -> Day:
-    return msgspec.structs.replace(day, flood=msgspec.structs.replace(day.flood, shape=shape))
-
-
 def played(day: Day, shape: str, seed: int, out: Path) -> dict[str, Any]:
     """The result of a play that was in time, if one of a few is."""
     for _ in range(LATE_AGAIN + 1):
--- a/ternquay/rig/tenants.py
+++ b/ternquay/rig/tenants.py
@@ -26,7 +26,17 @@
 from ternquay.rig.contender import by_decisions
 from ternquay.rig.flood import FloodPlan, FloodSaw
 from ternquay.rig.judge import Breach, judge
-from ternquay.rig.measure import crashes, histogram, in_goal, is_late, lateness, measure, percentile, tries_of
+from ternquay.rig.measure import (
+    committed_at,
+    crashes,
+    histogram,
+    in_goal,
+    is_late,
+    lateness,
+    measure,
+    percentile,
+    tries_of,
+)
 from ternquay.rig.play import Balancer, PlayError, PortTaken, Running, Stage, follow, free_place, staged, tail_ms
 from ternquay.rig.terms import MS, Day, TenantTerms
 
@@ -274,7 +284,7 @@
     asked = sum(t["txs"] for t in tenants.values())
     rules = {rule: sum(t["rules"][rule] for t in tenants.values()) for rule in tenants[names[0]]["rules"]}
     times = [at - tries[0].due for name in names for tries in tries_of(saws[name]).values()
-             if (at := next((t.ended for t in tries if t.answer in ("value", "receipt")), 0))]
+             if (at := committed_at(tries))]
     spread = histogram(times)
     samples = hosted.samples
     cpu = samples[-1].cpu - samples[0].cpu if samples else 0.0
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -272,6 +272,11 @@
     return _checked(told, str(path) if name.endswith(".toml") else path.name)
 
 
+def with_flood(day: Day, shape: str) -> Day:
+    """The day with another shape of its flood."""
+    return msgspec.structs.replace(day, flood=msgspec.structs.replace(day.flood, shape=shape))
+
+
 def planned(day: Day, seed: int) -> tuple[Planned, ...]:
     """The faults of a day with their targets drawn; the same for the same seed."""
     length, found = int(day.seconds * SECOND), []
--- a/tests/test_rig_tenants.py
+++ b/tests/test_rig_tenants.py
@@ -12,10 +12,10 @@
 from ternquay.rig.commands import app, plain_days
 from ternquay.rig.contender import by_decisions
 from ternquay.rig.flood import Flood, Flooder, FloodPlan
-from ternquay.rig.neighbours import lines, of_shape, with_flood
+from ternquay.rig.neighbours import lines, of_shape
 from ternquay.rig.play import PlayError, play
 from ternquay.rig.tenants import change_figures, day_of, document, parties
-from ternquay.rig.terms import MS, DayError, read_day
+from ternquay.rig.terms import MS, DayError, read_day, with_flood
 
 
 def test_each_tenant_has_a_day_of_its_own_and_those_of_one_fleet_share_its_faults() -> None:
