Bad input is named and changes nothing; nothing new goes where a host was

Now each figure has its range and path. - A list with an id twice, `"complete": "false"` (taken as whole: all else gone), a size or start out of range was taken or told as KeyError('id'). net/discovery.py `take` moved its revision on before the door had the list: what raised was lost for good. An older revision was taken. Now: refused in one line, what is in force stays, the whole list is asked for. - Discovery that answers 503 and does not end it: one connection a call left open and uncounted (4 of 4 calls), as with a list too long: the library's transport has no abortConnection, so `Body` raised instead. Now at most one is open. - `serve` ran a second thread: the HTTP library looks even an address up in one. It connects straight now: one thread. - More sockets told than RLIMIT_NOFILE has: 64 of 64 descriptors taken. The smaller counts now. - pool.py: connections to an address that the host had left were pooled, shared and dialled on for new hops; a dial under way or a command waiting behind another went out after a drain, as late as its own limit. Both come back as never sent, once the decisions know. A hop to a host that drains is not sent even if the decisions failed on the list. - door.py `_decide`: an event or action that raised dropped the others' answers, hops and the timer. Each by itself now; what was decided before a fault is carried out. SetTimer left one call for each: there is one. - balance.py `_list_changed`: a host back under its index kept the old record in the orders and got none of its keys (the adapter of the simulator keeps indices; sockets never do). `held` kept hosts that were gone for as long as a key was asked for. - The verdict of tests/test_rig.py hung on the number of cores.

Ruled out: weights against cached orders, ranges replaced while hops are out, two reloads at once, a new discovery that never answers, a file cut at any length of JSON: each tested, none at fault.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -136,11 +136,16 @@
                     host.standing = m.Standing.GONE
         for line in event.lines:
             self._listed(line)
-        self.hosts = {i: host for i, host in self.hosts.items() if host.standing is not m.Standing.GONE}
+        gone = {i for i, host in self.hosts.items() if host.standing is m.Standing.GONE}
+        if gone:
+            self.hosts = {i: host for i, host in self.hosts.items() if i not in gone}
+            for holders in self.held.values():
+                holders -= gone
         up = [h for h in self.hosts.values() if h.standing is m.Standing.READY]
         self.ready = [h for h in up if not h.is_origin]
         # A host less is passed over where it stands; only a new one, or a new weight, needs new orders.
-        if not {h.index for h in self.ready} <= {h.index for h in self.ranked}:
+        # By the record and not its index: under that one may come back that is another.
+        if not set(self.ready) <= set(self.ranked):
             self.orders, self.ranked = {}, list(self.ready)
             self.even = len({h.weight for h in self.ranked}) < 2
         self.origin = next((h for h in up if h.is_origin), None)
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -7,30 +7,77 @@
 US = 1000
 KINDS = {"repeatable": m.Kind.IDEMPOTENT, "by_key": m.Kind.JOURNALLED, "once": m.Kind.NON_IDEMPOTENT}
 SCOPES = {"all": m.Scope.ALL, "zone": m.Scope.ZONE, "cell": m.Scope.CELL}
+LONGEST = 10**12  # of any time that is told, in microseconds: some eleven days
+MOST = 10**9  # of any count or rate
 
 
+def number(told: dict[str, Any], name: str, at: str, least: float, most: float, usual: float | None = None) -> Any:
+    """A figure within its range. Raises KeyError where it is missing and has no usual value, else ValueError."""
+    field = f"{at}.{name}" if at else name
+    value = told.get(name)
+    if value is None:
+        if usual is None:
+            raise KeyError(field)
+        return usual
+    # Written so that what is no number at all is not within the range either.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= most:
+        raise ValueError(f"{field}: a number from {least:g} to {most:g} is wanted, not {value!r:.40}")
+    return value
+
+
+def span(told: dict[str, Any], name: str, at: str, least: int = 0, usual: int | None = None) -> int:
+    """A time that is told in microseconds, in nanoseconds."""
+    return int(number(told, name, at, least, LONGEST, usual)) * US
+
+
+def choice(told: dict[str, Any], name: str, at: str, known: dict[str, Any], usual: str | None = None) -> Any:
+    value = told.get(name, usual)
+    if value not in known:
+        raise ValueError(f"{at}.{name}: one of {', '.join(known)} is wanted, not {value!r:.40}")
+    return known[value]
+
+
+def named(told: Any, what: str) -> list[tuple[str, dict[str, Any]]]:
+    """What is listed under names, each with its path; a name stands once."""
+    if not isinstance(told, list):
+        raise ValueError(f"{what}: a list is wanted, not {told!r:.40}")
+    seen: set[str] = set()
+    for i, one in enumerate(told):
+        name = one.get("Name") if isinstance(one, dict) else None
+        if not isinstance(name, str) or not name or name in seen:
+            raise ValueError(f"{what}[{i}].Name: a name of its own is wanted, not {name!r:.40}")
+        seen.add(name)
+    return [(f"{what}[{i}]", one) for i, one in enumerate(told)]
+
+
+def read_profile(at: str, told: dict[str, Any]) -> m.Profile:
+    return m.Profile(
+        kind=choice(told, "Semantics", at, KINDS), scope=choice(told, "DedupScope", at, SCOPES, "cell"),
+        memory=span(told, "Window", at, usual=0), service_goal=span(told, "ServiceGoal", at, 1),
+        hard_limit=span(told, "HardLimit", at, 1),
+        overdue_revenue=number(told, "OverdueRevenue", at, -MOST, MOST, 0.0),
+    )
+
 
 def read_start(seed: int, facts: dict[str, Any]) -> m.Started:
+    """Raises KeyError or ValueError, which name the field."""
     limits, rules, family = facts["Limits"], facts["Invariants"], facts.get("FamilyInfo", {})
-    profiles = tuple(
-        m.Profile(
-            kind=KINDS[p["Semantics"]], scope=SCOPES[p.get("DedupScope", "cell")],
-            memory=p.get("Window", 0) * US, service_goal=p["ServiceGoal"] * US,
-            hard_limit=p["HardLimit"] * US, overdue_revenue=p.get("OverdueRevenue", 0.0),
-        )
-        for p in facts["Profiles"]
-    )
+    profiles = tuple(read_profile(at, one) for at, one in named(facts["Profiles"], "Profiles"))
+    if not profiles:
+        raise ValueError("Profiles: at least one is wanted")
     return m.Started(
-        seed=seed, balancers=facts["Balancers"], number=facts.get("MyNumber", 0), profiles=profiles,
-        quotas=tuple(t["QuotaPerS"] for t in facts.get("Tenants") or []),
+        seed=seed, balancers=int(number(facts, "Balancers", "", 1, MOST)),
+        number=int(number(facts, "MyNumber", "", 0, MOST, 0)), profiles=profiles,
+        quotas=tuple(number(t, "QuotaPerS", at, 0, MOST) for at, t in named(facts.get("Tenants") or [], "Tenants")),
         aside=family.get("Mode") == "aside", origin_kind=family.get("OriginKind", -1),
         watch_list=facts.get("Discovery") == "on_request", cancel=limits.get("Cancel", False),
-        parallel=limits.get("ParallelTries", False), most_hops=limits.get("MostHops", 1),
+        parallel=limits.get("ParallelTries", False), most_hops=int(number(limits, "MostHops", "Limits", 1, MOST, 1)),
         hints_weigh=facts.get("Weights") in ("nominal", "rough"),
-        max_backoff=limits.get("MaxRetryAfter", 0) * US if limits.get("RetryAfter") else 0,
-        quantum=facts.get("Quantum", 0) * US, cold_share=rules["ColdShare"],
-        warm_within=rules["WarmWithin"] * US, tip_multiple=rules["TipMultiple"],
-        tip_window=rules["Fall"] * US,
+        max_backoff=span(limits, "MaxRetryAfter", "Limits", usual=0) if limits.get("RetryAfter") else 0,
+        quantum=span(facts, "Quantum", "", usual=0), cold_share=number(rules, "ColdShare", "Invariants", 0, 1),
+        warm_within=span(rules, "WarmWithin", "Invariants"),
+        tip_multiple=number(rules, "TipMultiple", "Invariants", 0, MOST),
+        tip_window=span(rules, "Fall", "Invariants"),
     )
 
 
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -16,9 +16,9 @@
 from ternquay.hosted.registry import Entry
 from ternquay.hosted.tenant import Place, Server, State, Tenant, Unfit
 from ternquay.net.discovery import Discovery
-from ternquay.net.door import Door, Member, Outgoing
-from ternquay.net.launch import Address
+from ternquay.net.door import Door, Outgoing
 from ternquay.net.limits import SECOND, Limits, fill
+from ternquay.net.listing import Address, Member
 from ternquay.net.pool import HostConnection, Pool
 from ternquay.net.turn import Turn
 
--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -4,38 +4,32 @@
 
 import orjson
 from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
-from ternquay import model as m
-from ternquay.net.door import Door, Member
-from ternquay.net.launch import Address, address
+from ternquay.net.door import Door
 from ternquay.net.limits import MS, SECOND, Limits
-
-STANDINGS = {"up": m.Standing.READY, "draining": m.Standing.DRAINING, "removed": m.Standing.GONE}
+from ternquay.net.listing import Address, ToldWrong, read_list
 
 
 class CallFailed(Exception):
     """Discovery answered something else than a list."""
 
 
-def read_member(told: dict[str, Any], since_offset: int) -> Member:
-    since = int(told.get("up_since_ms") or 0)
-    return Member(
-        id=str(told["id"]), where=address(told["host_port"], "host_port"), zone=str(told.get("locality", "")),
-        kind=str(told.get("flavor", "")), cell=int(told.get("cell") or 0), standing=STANDINGS[told["phase"]],
-        hint=float(told.get("size") or 1.0), since=since * MS - since_offset if since else 0,
-    )
+@implementer(IAgentEndpointFactory)
+class Straight:
+    """Connects to an address. Against the library's own way, which looks even an address up in a thread."""
 
+    def __init__(self, reactor: Any, where: Address) -> None:
+        self.reactor, self.where = reactor, where
 
-def read_list(told: Any, since_offset: int) -> tuple[int, bool, tuple[Member, ...]]:
-    """The revision, whether the list is whole, and its members; all of it is read before any is kept."""
-    try:
-        members = tuple(read_member(member, since_offset) for member in told["members"])
-        return int(told["revision"]), bool(told["complete"]), members
-    except (KeyError, TypeError, ValueError, AttributeError) as fault:
-        raise CallFailed(f"unreadable list: {fault!r}") from fault
+    def endpointForURI(self, uri: Any) -> Any:
+        made = TCP6ClientEndpoint if ":" in self.where.host else TCP4ClientEndpoint
+        return made(self.reactor, self.where.host, self.where.port, 1)
 
 
 class Body(Protocol):
@@ -45,13 +39,19 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
-        self.done: Deferred[bytes] = Deferred(lambda _: self.transport.abortConnection())
+        self.done: Deferred[bytes] = Deferred(lambda _: self.end())
         self.buffer = bytearray()
 
+    def end(self) -> None:
+        """Closes its connection. The library hands over a transport that knows no abort."""
+        self.buffer.clear()
+        if self.transport is not None:
+            self.transport.stopProducing()
+
     def dataReceived(self, data: bytes) -> None:
         self.buffer += data
         if len(self.buffer) > self.most:
-            self.transport.abortConnection()
+            self.end()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if not self.done.called:
@@ -71,7 +71,7 @@
         # Against a call that the library makes twice unseen: discovery works through calls in turn.
         pool.retryAutomatically = False
         pool.maxPersistentPerHost = 1
-        self.agent = Agent(reactor, connectTimeout=1.0, pool=pool)
+        self.agent = Agent.usingEndpointFactory(reactor, Straight(reactor, where), pool)
         self.revision, self.called = -1, 0  # -1: no list of this address is known yet
         self.out = self.ended = False
         self.call: Deferred[None] | None = None
@@ -89,8 +89,11 @@
         self.idle.closeCachedConnections().addErrback(lambda _: None)
 
     def take(self, told: Any) -> None:
-        """Takes a list in discovery's form and goes on from its revision."""
-        self.revision, whole, members = read_list(told, self.since_offset)
+        """Takes a list in discovery's form and goes on from its revision; what raises is not taken."""
+        revision, whole, members = read_list(told, self.since_offset)
+        if revision < self.revision:
+            raise ToldWrong(f"revision: {revision} is older than {self.revision}, which is known")
+        self.revision = revision  # before the decisions hear of it, as they may ask for the next at once
         self.door.list_told(whole, members)
 
     def _call(self) -> None:
@@ -109,18 +112,20 @@
         response.deliverBody(body)
         if response.code != 200:
             body.done.addErrback(lambda _: None)
+            body.end()  # its body may have no end, and each call would leave a connection behind
             raise CallFailed(f"status {response.code}")
         return body.done
 
     def _read(self, body: bytes) -> None:
         if self.ended:
             return
-        try:
-            told = orjson.loads(body)
-        except orjson.JSONDecodeError as fault:
-            raise CallFailed(f"unreadable list: {fault}") from fault
         before = self.revision
-        self.take(told)
+        try:
+            self.take(orjson.loads(body))
+        except Exception:
+            # What it told is lost, so that only the whole list says how things stand; it is taken at any revision.
+            self.revision = -1
+            raise
         if self.revision != before or self.door.now() - self.called > self.limits.breath:
             # At once: a later call would be a new watch, with a gap before it.
             self._call()
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -13,8 +13,8 @@
 from ternquay.balance import Balancer
 from ternquay.facts import Names
 from ternquay.net.flood import Flood
-from ternquay.net.launch import Address
 from ternquay.net.limits import SECOND, Limits
+from ternquay.net.listing import Address, Member
 
 
 class Call(Protocol):
@@ -57,21 +57,6 @@
     message: Any
 
 
-@dataclass(slots=True, frozen=True)
-class Member:
-    """One line of the list of cache hosts, by its names."""
-
-    id: str
-    where: Address
-    zone: str
-    kind: str
-    cell: int
-    standing: m.Standing
-    hint: float
-    since: int
-    part: float = 1.0
-
-
 @dataclass(slots=True, eq=False)
 class Outgoing:
     """One hop that is out: what the pool has in hand."""
@@ -107,6 +92,8 @@
 
     def listed(self, index: int, address: Address, ready: bool) -> None: ...
 
+    def recall(self, index: int) -> None: ...
+
     def unlisted(self, index: int) -> None: ...
 
 
@@ -117,6 +104,7 @@
         self.start = start
         self.tell = Flood(clock.seconds, limits.flood).tell
         self.balancer = decisions(start)
+        self.timer: Call | None = None  # the decisions' one
         self.pool: Carrier
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
@@ -148,20 +136,38 @@
 
     def _decide(self, event: m.Event) -> None:
         # Whatever is wrong with one event, the library would close the client whose bytes brought it here.
+        before, failed = self.balancer.actions, False
         try:
-            for action in self.balancer.decide(self.now(), event):
-                self._act(action)
+            actions = self.balancer.decide(self.now(), event)
         except Exception:
             self.tell("ERROR", "the decisions failed on {}", type(event).__name__, trace=True)
-            if isinstance(event, m.TxArrived):
-                self._abandon(event.tx)
+            # What they had decided by then they count on: a hop that is not heard of again would be out for ever.
+            actions, failed = self.balancer.actions if self.balancer.actions is not before else [], True
+        for action in actions:
+            try:
+                self._act(action)
+            except Exception:
+                # One that fails takes no others with it: another's answer, or the timer of all.
+                self.tell("ERROR", "{} failed", type(action).__name__, trace=True)
+                if isinstance(action, m.SendHop):
+                    self._failed(action)
+        if failed and isinstance(event, m.TxArrived):
+            self._abandon(event.tx)
+            self.events.append(m.TxGone(event.tx))
+
+    def _failed(self, a: m.SendHop) -> None:
+        """A hop that could not be sent has ended, as far as anything of it is out."""
+        tx = self.txs.get(a.tx)
+        if tx is not None and tx.hops and not tx.hops[-1].ended:
+            self.hop_ended(tx.hops[-1], m.End.RESET if tx.hops[-1].written else m.End.SKIPPED)
 
     def _act(self, a: m.Action) -> None:
         if isinstance(a, m.SendHop):
             self._send(a)
         elif isinstance(a, m.SetTimer):
             # A little late, as rounding may not make it early, and after the hops that end at that time.
-            self.later(a.at + 2000, self.happened, m.TimerFired())
+            unschedule(self.timer)
+            self.timer = self.later(a.at + 2000, self.happened, m.TimerFired())
         elif isinstance(a, m.RollBack):
             tx = self.txs.get(a.tx)
             if tx is not None and not tx.answered:
@@ -284,6 +290,9 @@
         for line, member in zip(lines, members, strict=True):
             self.pool.listed(line.host, member.where, line.standing is m.Standing.READY)
         self.happened(m.ListChanged(whole, lines))
+        # Only now, as what comes back is sent elsewhere by what the decisions know.
+        for line in lines:
+            self.pool.recall(line.host)
         for name in sorted(gone):
             self.pool.unlisted(self.hosts.pop(name))
 
--- a/ternquay/net/launch.py
+++ b/ternquay/net/launch.py
@@ -1,6 +1,7 @@
 """What a balancer is told when it starts, read from its configuration and the environment."""
 
 import os
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -10,19 +11,13 @@
 from ternquay import model as m
 from ternquay.facts import Names, read_start
 from ternquay.net.limits import Limits, fill
+from ternquay.net.listing import Address, ToldWrong, address, read_list
 
+LEAST_SOCKETS = 48
 
-class LaunchError(ValueError):
-    """The configuration lacks something or holds what can't be used; the text names the field."""
-
-
-@dataclass(slots=True, frozen=True)
-class Address:
-    host: str
-    port: int
 
-    def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+class LaunchError(ToldWrong):
+    """The configuration lacks something or holds what can't be used; the text names the field."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,13 +32,6 @@
     limits: Limits
 
 
-def address(text: Any, field: str) -> Address:
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise LaunchError(f"{field}: an address and a port are wanted, not {text!r}")
-    return Address(host, int(port))
-
-
 def part(whole: dict[str, Any], field: str) -> dict[str, Any]:
     value = whole.get(field)
     if not isinstance(value, dict):
@@ -52,11 +40,18 @@
 
 
 def whole_number(value: Any, field: str, least: int) -> int:
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+    # Written so that what is no number at all is turned away too; more than this is none of a machine's.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 2**64:
         raise LaunchError(f"{field}: a number of {least} or more is wanted, not {value!r:.60}")
     return int(value)
 
 
+def descriptors() -> int:
+    """How many the system lets this process have, whatever it was told: past it accepting and dialling fail."""
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return most if most != resource.RLIM_INFINITY else 1 << 31
+
+
 def read_seed(value: Any) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else whole_number(value, "seed", 0)
@@ -82,21 +77,28 @@
     path = path or env.get("EDGE_CONFIG", "")
     told = read_file(path)
     facts, bounds = part(told, "settings"), part(told, "limits")
-    sockets = whole_number(bounds.get("sockets"), "limits.sockets", 48)
+    sockets = min(whole_number(bounds.get("sockets"), "limits.sockets", LEAST_SOCKETS), descriptors())
+    if sockets < LEAST_SOCKETS:
+        raise LaunchError(f"limits.sockets: the process may have {sockets} descriptors, {LEAST_SOCKETS} are wanted")
     memory = whole_number(bounds.get("memory_mb"), "limits.memory_mb", 64)
     try:
         start, names, limits = read_start(read_seed(told.get("seed")), facts), Names(facts), fill(
             facts, sockets, memory)
     except KeyError as fault:
         raise LaunchError(f"settings: {fault.args[0]} is missing or not known") from fault
-    except (TypeError, AttributeError, ValueError) as fault:
+    except (TypeError, AttributeError, ValueError, OverflowError) as fault:
         raise LaunchError(f"settings: {fault}") from fault
     known = part(told, "known")
-    if not isinstance(known.get("members"), list):
-        raise LaunchError("known.members: a list is wanted")
+    try:
+        read_list(known, 0)
+    except ToldWrong as fault:
+        raise LaunchError(f"known.{fault}") from fault
+    try:
+        listen = address(told.get("listen", env.get("EDGE_LISTEN")), "listen")
+        discovery = address(told.get("discovery", env.get("EDGE_DISCOVERY")), "discovery")
+    except ToldWrong as fault:
+        raise LaunchError(str(fault)) from fault
     return Launch(
-        path=path, name=str(told.get("name") or env.get("EDGE_NAME", "")),
-        listen=address(told.get("listen", env.get("EDGE_LISTEN")), "listen"),
-        discovery=address(told.get("discovery", env.get("EDGE_DISCOVERY")), "discovery"),
+        path=path, name=str(told.get("name") or env.get("EDGE_NAME", "")), listen=listen, discovery=discovery,
         start=start, names=names, known=known, limits=limits,
     )
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ternquay.facts import US
+from ternquay.facts import MOST, US, number, span
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -67,22 +67,22 @@
     spare = max(4, left // 8)
     longest = max(p["HardLimit"] for p in facts["Profiles"])
     lame, leave = SECOND // 2, min(longest * US, 3 * SECOND) + 600 * MS
-    must_ask = facts["Invariants"].get("MustAskIn") or 10_000_000
+    must_ask = span(facts["Invariants"], "MustAskIn", "Invariants", usual=0) or 10 * SECOND
+    idle = span(allowed, "ConnIdle", "Limits", usual=0) or 5 * SECOND
     return Limits(
         sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, backlog=1024, accepts=16,
         line=2048, value=65536, answer=MIB, queued=2 * MIB,
         # Four times, above what the program itself takes.
         held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
-        pipelined=256, open_txs=allowed.get("MostHeld") or 20000,
-        per_connection=max(1, allowed.get("StreamsPerConn") or 1),
+        pipelined=256, open_txs=int(number(allowed, "MostHeld", "Limits", 0, MOST, 0)) or 20000,
+        per_connection=max(1, int(number(allowed, "StreamsPerConn", "Limits", 0, MOST, 1))),
         turn=min(p["ServiceGoal"] for p in facts["Profiles"]) * US // 10,
         fresh=SECOND, resting=whole // 6,
-        come_again=(allowed.get("MaxRetryAfter") or 0) * US // 4 if allowed.get("RetryAfter") else 0,
-        dial=(allowed.get("DialTimeout") or 250_000) * US,
-        idle=(allowed.get("ConnIdle") or 5_000_000) * US * 3 // 5, sweep=SECOND // 4,
+        come_again=span(allowed, "MaxRetryAfter", "Limits", usual=0) // 4 if allowed.get("RetryAfter") else 0,
+        dial=span(allowed, "DialTimeout", "Limits", usual=0) or 250 * MS, idle=idle * 3 // 5, sweep=SECOND // 4,
         wear=5 * SECOND, wear_least=8,
         stalled=5 * SECOND,
-        watch=min(60 * SECOND, must_ask * US // 2), call=3 * SECOND // 2, breath=SECOND // 10,
+        watch=min(60 * SECOND, must_ask // 2), call=3 * SECOND // 2, breath=SECOND // 10,
         again=SECOND, list_bytes=8 * MIB,
         lame=lame, serve_on=max(lame, leave - SECOND // 3), last=leave - 20 * MS, leave=leave, flood=SECOND,
     )
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -16,8 +16,8 @@
 from ternquay import model as m
 from ternquay.net.door import Door, Outgoing
 from ternquay.net.driver import Driver
-from ternquay.net.launch import Address
 from ternquay.net.limits import MS, SECOND, Limits
+from ternquay.net.listing import Address
 from ternquay.net.meta import HostSide
 from ternquay.net.sockets import Sockets
 
@@ -28,6 +28,8 @@
 
     def __init__(self, pool: "Pool", host: "HostPlace") -> None:
         self.pool, self.host = pool, host
+        self.address = host.address  # where it leads; the host may go on at another
+        self.connector: Any = None
         self.machine = HostSide(pool.limits.line, pool.limits.answer)
         self.kept = 0  # bytes of an answer that is not whole
         self.to_write: deque[Outgoing] = deque()
@@ -37,12 +39,19 @@
         self.rested = -1  # how long it had been idle before the hop it is used for now, until something comes
         self.up = self.closing = False
 
+    def current(self) -> bool:
+        """Whether what is new may go out here: the host is listed, does not drain, and is where this leads."""
+        return self.host.ready and self.address == self.host.address
+
     def load(self) -> int:
         return len(self.hops) + len(self.to_write)
 
     # ---- from the transport ----
 
     def connectionMade(self) -> None:
+        if self.closing:  # dropped while it was being made
+            self.transport.abortConnection()
+            return
         super().connectionMade()
         self.up = True
         self.transport.registerProducer(self, False)
@@ -110,6 +119,16 @@
             hop.written = False  # and the rest of it never will be: the connection is closed at once
         self.settle()
 
+    def recall(self) -> None:
+        """Nothing new may go out here any more: what was not begun ends as never sent, and is decided on anew."""
+        waiting, self.to_write = self.to_write, deque()
+        for hop in waiting:
+            self.pool.door.hop_ended(hop, m.End.SKIPPED)
+        if self.up:
+            self.settle()
+        else:
+            self.drop()
+
     def settle(self) -> None:
         """Idle again, or of no more use: with nothing but given-up hops on it, it is closed to end them."""
         if not self.up or self.closing or self.to_write:
@@ -124,7 +143,10 @@
         if not self.closing:
             self.closing = True
             self.pool.lost(self)
-            self.transport.abortConnection()
+            if self.up:
+                self.transport.abortConnection()
+            else:
+                self.connector.stopConnecting()  # there is no transport yet
             self.fail()
 
     def retire(self) -> None:
@@ -162,7 +184,7 @@
 
     def __init__(self, index: int, address: Address) -> None:
         self.index, self.address = index, address
-        self.ready = self.gone = False
+        self.ready = self.gone = False  # ready: what is new may go there
         self.all: dict[HostConnection, None] = {}
         self.idle: list[HostConnection] = []  # the one used last at the end
 
@@ -223,15 +245,24 @@
         place = self.places[index]
         place.ready, place.gone = False, True
         self._close_idle(place)
+        self.recall(index)
         self._forget(place)
 
+    def recall(self, index: int) -> None:
+        """Of a host that drains, or is at another address, connections carry nothing that they have not begun."""
+        place = self.places[index]
+        for connection in list(place.all):
+            if not connection.current():
+                connection.recall()
+
     def _forget(self, place: HostPlace) -> None:
         if place.gone and not place.all:
             self.places.pop(place.index, None)
 
     def send(self, hop: Outgoing) -> None:
         place = self.places.get(hop.host)
-        connection = self._connection(place) if place is not None else None
+        # Not to one that drains, though the decisions should know: they may have failed on the list that said so.
+        connection = self._connection(place) if place is not None and place.ready else None
         if connection is None:
             # Not the cache host's fault, and never sent.
             self.door.hop_ended(hop, m.End.SKIPPED)
@@ -258,20 +289,20 @@
             return self._dial(place)
         if not self.share:
             return None
-        least = min(place.all, key=HostConnection.load, default=None)
+        least = min(filter(HostConnection.current, place.all), key=HostConnection.load, default=None)
         return least if least is not None and least.load() < self.limits.per_connection else None
 
     def _dial(self, place: HostPlace) -> HostConnection:
         connection = self.connects(self, place)
         place.all[connection] = None
         self.sockets.host_opened()
-        self.reactor.connectTCP(place.address.host, place.address.port, Dialer(connection),
-                                timeout=self.limits.dial / SECOND)
+        connection.connector = self.reactor.connectTCP(place.address.host, place.address.port, Dialer(connection),
+                                                       timeout=self.limits.dial / SECOND)
         return connection
 
     def idle(self, connection: HostConnection) -> None:
         connection.idle_since = self.door.now()
-        if not connection.host.ready:
+        if not connection.current():
             connection.retire()
         elif connection not in connection.host.idle:
             connection.host.idle.append(connection)
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -16,11 +16,12 @@
 from zope.interface import implementer
 
 from ternquay.balance import Balancer
-from ternquay.net.discovery import CallFailed, Discovery
+from ternquay.net.discovery import Discovery
 from ternquay.net.door import Door
 from ternquay.net.front import Front
-from ternquay.net.launch import Address, Launch, LaunchError, read_launch
+from ternquay.net.launch import Launch, LaunchError, read_launch
 from ternquay.net.limits import SECOND
+from ternquay.net.listing import Address
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import MarkedPoll, Turn
@@ -83,10 +84,7 @@
         return discovery
 
     def begin(self) -> None:
-        try:
-            self.discovery.take(self.launch.known)
-        except CallFailed as fault:
-            raise LaunchError(f"known: {fault}") from fault
+        self.discovery.take(self.launch.known)  # read_launch has read it already
         if not self.launch.start.watch_list:
             self.discovery.watch()
         where = self.launch.listen
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -14,10 +14,10 @@
 from ternquay import model as m
 from ternquay.balance import MS, SECOND, Balancer
 from ternquay.facts import Names, read_start
-from ternquay.net.discovery import read_list
 from ternquay.net.door import Door
 from ternquay.net.front import Front
 from ternquay.net.limits import fill
+from ternquay.net.listing import read_list
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import Turn
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,8 +15,9 @@
 from typer.testing import CliRunner
 
 from ternquay.cli import app
-from ternquay.net.discovery import CallFailed, Discovery
-from ternquay.net.launch import Address, LaunchError, read_launch
+from ternquay.net.discovery import Discovery
+from ternquay.net.launch import LaunchError, read_launch
+from ternquay.net.listing import Address, ToldWrong
 from ternquay.net.serve import Service
 from ternquay.net.turn import Turn
 from tests.helper import FACTS, Net, Wire, member
@@ -354,7 +355,7 @@
         {"revision": 1, "complete": True, "members": [member(1) | {"host_port": "nowhere"}]},
     )
     for told in odd:
-        with pytest.raises(CallFailed):
+        with pytest.raises(ToldWrong):
             watch.take(told)
     net.client().feed(mg(1))
     assert len(net.reactor.tcpClients) == 1
@@ -378,7 +379,7 @@
         self.net = net
         self.calls: list[Deferred[Any]] = []
 
-    def __call__(self, *_: Any, **__: Any) -> "Agent":
+    def usingEndpointFactory(self, *_: Any, **__: Any) -> "Agent":
         return self
 
     def request(self, verb: bytes, url: bytes) -> "Deferred[Any]":
@@ -462,7 +463,7 @@
     reload = service.signals()[SIGHUP]
     service.begin()
     bad = b'{"discovery":', orjson.dumps(TOLD | {"discovery": 5}), orjson.dumps(TOLD | {"settings": 3})
-    for told in (*bad, orjson.dumps(TOLD | {"listen": "h:1", "discovery": "127.0.0.1:8600"})):
+    for told in (*bad, orjson.dumps(TOLD | {"listen": "127.0.0.9:1", "discovery": "127.0.0.1:8600"})):
         path.write_bytes(told)
         reload()
         net.say(f"told to read {told[:15]!r}")
--- /dev/null
+++ b/tests/test_review_input.py
@@ -0,0 +1,296 @@
+"""Bad input at a start and while it serves: one line names it, what is in force stays, each open tx is answered."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from signal import SIGHUP
+from typing import Any
+
+import orjson
+import pytest
+from loguru import logger
+from typer.testing import CliRunner
+
+from ternquay import model as m
+from ternquay.cli import app
+from ternquay.net.discovery import Discovery
+from ternquay.net.launch import LaunchError, read_launch
+from ternquay.net.listing import Address, ToldWrong, read_list
+from ternquay.net.serve import Service
+from tests.helper import FACTS, Net, Play, line, member
+from tests.test_net import TOLD, Agent, Response, mg, va
+
+ROOT = Path(__file__).parents[1]
+
+
+def settings(**changed: Any) -> dict[str, Any]:
+    return {"settings": FACTS | changed}
+
+
+def profile(**changed: Any) -> dict[str, Any]:
+    return settings(Profiles=[FACTS["Profiles"][0] | changed])
+
+
+def known(*members: dict[str, Any], **changed: Any) -> dict[str, Any]:
+    return {"known": {"revision": 1, "complete": True, "members": list(members)} | changed}
+
+
+ODD_FACTS: list[tuple[dict[str, Any], str]] = [
+    (settings(Balancers=0), "settings: Balancers"), (settings(Balancers=-2), "settings: Balancers"),
+    (settings(Balancers="2"), "settings: Balancers"), (settings(MyNumber=-1), "settings: MyNumber"),
+    (settings(Profiles=[]), "settings: Profiles"), (profile(HardLimit=0), "settings: Profiles[0].HardLimit"),
+    (profile(HardLimit=1e300), "settings: Profiles[0].HardLimit"), (profile(ServiceGoal=-5), "Profiles[0].ServiceGoal"),
+    (profile(Semantics="often"), "settings: Profiles[0].Semantics"), (profile(Name=7), "settings: Profiles[0].Name"),
+    (profile(OverdueRevenue="x"), "settings: Profiles[0].OverdueRevenue"),
+    (settings(Profiles=[FACTS["Profiles"][0]] * 2), "settings: Profiles[1].Name"),
+    (settings(Invariants=FACTS["Invariants"] | {"ColdShare": "x"}), "settings: Invariants.ColdShare"),
+    (settings(Invariants=FACTS["Invariants"] | {"ColdShare": 1.5}), "settings: Invariants.ColdShare"),
+    (settings(Invariants=FACTS["Invariants"] | {"Fall": -1}), "settings: Invariants.Fall"),
+    (settings(Limits=FACTS["Limits"] | {"MostHops": 0}), "settings: Limits.MostHops"),
+    (settings(Limits=FACTS["Limits"] | {"ConnIdle": 10**30}), "settings: Limits.ConnIdle"),
+    (settings(Tenants=[{"Name": "t", "QuotaPerS": -1}]), "settings: Tenants[0].QuotaPerS"),
+    ({"listen": "127.0.0.1:\u00b2"}, "listen"), ({"listen": "127.0.0.1:" + "9" * 5000}, "listen"),
+    ({"listen": "a\0b:80"}, "listen"), ({"discovery": "somewhere.test:80"}, "discovery"),
+    ({"limits": {"memory_mb": 96, "sockets": 10**400}}, "EDGE_CONFIG"),
+]
+ODD_LISTS: list[tuple[dict[str, Any], str]] = [
+    (known(member(1), member(2) | {"id": "h1"}), "known.members[1].id"),
+    (known(member(1) | {"id": ""}), "known.members[0].id"),
+    (known(member(1) | {"id": None}), "known.members[0].id"), (known(member(1, "odd")), "known.members[0].phase"),
+    (known(member(1) | {"size": -1.0}), "known.members[0].size"),
+    (known(member(1) | {"size": 1e300}), "known.members[0].size"),
+    (known(member(1) | {"size": "x"}), "known.members[0].size"),
+    (known(member(1) | {"cell": 1e300}), "known.members[0].cell"),
+    (known(member(1) | {"up_since_ms": 1e308}), "known.members[0].up_since_ms"),
+    (known(member(1) | {"up_since_ms": -1}), "known.members[0].up_since_ms"),
+    (known(member(1) | {"host_port": "10.0.0.1:\u00b2"}), "known.members[0].host_port"),
+    (known(member(1) | {"host_port": "a.name:80"}), "known.members[0].host_port"), (known(5), "known.members[0]"),  # type: ignore[arg-type]
+    (known(revision=-1), "known.revision"), (known(revision=1e300), "known.revision"),
+    (known(complete="false"), "known.complete"), (known(members={}), "known.members"),
+]
+
+
+@pytest.mark.parametrize(("change", "named"), ODD_FACTS + ODD_LISTS)
+def test_at_a_start_one_line_names_the_field(tmp_path: Path, change: dict[str, Any], named: str) -> None:
+    path = tmp_path / "told.json"
+    path.write_text(json.dumps(TOLD | change))
+    result = CliRunner().invoke(app, ["check", "--config", str(path)])
+    assert result.exit_code == 2 and result.output.count("\n") == 1, (result.output, result.exception)
+    assert named in result.output and len(result.output) < 400
+
+
+def test_a_start_with_a_file_cut_off_ends_with_status_2(tmp_path: Path) -> None:
+    path, whole = tmp_path / "told.json", orjson.dumps(TOLD)
+    for cut in range(len(whole)):
+        path.write_bytes(whole[:cut])
+        with pytest.raises(LaunchError) as told:
+            read_launch(str(path), {})
+        assert str(told.value).startswith("EDGE_CONFIG: ") and "\n" not in str(told.value)
+    path.write_bytes(whole[:-9])
+    done = subprocess.run([sys.executable, "-m", "ternquay", "serve", "--config", str(path)], cwd=ROOT,
+                          capture_output=True, text=True, timeout=30, check=False)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "EDGE_CONFIG" in done.stderr
+
+
+def started(net: Net, path: Path, monkeypatch: pytest.MonkeyPatch) -> tuple[Service, Agent]:
+    """A service over the net's reactor, whose discovery answers by hand."""
+    agent = Agent(net)
+    monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
+    path.write_bytes(orjson.dumps(TOLD))
+    service = Service(net.reactor, read_launch(str(path), {}))
+    net.front, net.door = service.front, service.door
+    service.begin()
+    return service, agent
+
+
+def test_while_it_serves_a_bad_file_changes_nothing_and_open_ones_are_answered(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    net, path, lines = Net(), tmp_path / "told.json", []
+    service, agent = started(net, path, monkeypatch)
+    handler = logger.add(lambda text: lines.append(str(text)), format="{level} {message}")
+    client, whole = net.client(), orjson.dumps(TOLD | {"discovery": "127.0.0.1:8600"})
+    bad = [whole[:cut] for cut in range(0, len(whole), 7)]
+    bad += [json.dumps(TOLD | change).encode() for change, _ in ODD_FACTS]
+    # The net's clock stands still between; each reload falls into a transaction that is out.
+    for n, told in enumerate(bad):
+        client.feed(mg(n))
+        host = net.wires[-1] if not net.reactor.tcpClients else net.accept()
+        path.write_bytes(told)
+        service.signals()[SIGHUP]()
+        host.feed(va(n))
+    logger.remove(handler)
+    assert service.launch.discovery == Address("127.0.0.1", 8500) and len(agent.calls) == 1
+    kept = [text for text in lines if "the old one is kept" in text]
+    assert len(kept) == len(bad) and all(text.count("\n") == 1 for text in kept), len(kept)
+    answers = [one for one in net.trace if "client 0 < b'VA" in one]
+    assert len(answers) == len(bad) and not service.door.txs
+
+
+def test_two_reloads_at_once_and_a_discovery_that_never_answers_leave_what_is_in_force(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    net, path = Net(), tmp_path / "told.json"
+    service, agent = started(net, path, monkeypatch)
+    path.write_bytes(orjson.dumps(TOLD | {"discovery": "127.0.0.1:8600"}))
+    service.reload()
+    service.reload()
+    assert len(agent.calls) == 2
+    client = net.client()
+    client.feed(mg(1))
+    net.accept().feed(va(1))
+    net.run(30_000)
+    assert "client 0 < b'VA 3 O1" in "".join(net.trace) and len(service.pool.places) == 1
+    assert 4 <= len(agent.calls) <= 12  # it goes on asking the new one, more and more rarely
+    service.end()
+    path.write_bytes(orjson.dumps(TOLD))
+    service.reload()
+    assert service.launch.discovery.port == 8600
+
+
+# ---- lists while it serves ----
+
+
+def followed(net: Net, monkeypatch: pytest.MonkeyPatch) -> tuple[Discovery, Agent]:
+    agent = Agent(net)
+    monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
+    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
+    net.door.watch = watch.watch
+    watch.watch()
+    return watch, agent
+
+
+def told(revision: int, *members: Any, complete: Any = True) -> Response:
+    return Response(200, json.dumps(
+        {"revision": revision, "complete": complete, "members": list(members)}).encode())
+
+
+def until_asked(net: Net, agent: Agent, many: int) -> None:
+    for _ in range(200):
+        if len(agent.calls) >= many:
+            return
+        net.run(50)
+    raise AssertionError(f"asked {len(agent.calls)} times")
+
+
+@pytest.mark.parametrize(("change", "named"), ODD_LISTS)
+def test_a_bad_list_is_named_changes_nothing_and_the_next_one_mends_it(
+        monkeypatch: pytest.MonkeyPatch, change: dict[str, Any], named: str) -> None:
+    net, lines = Net(), []
+    handler = logger.add(lambda text: lines.append(str(text)), format="{level} {message}")
+    _, agent = followed(net, monkeypatch)
+    agent.calls[0].callback(told(5, member(1), member(2)))
+    client = net.client()
+    client.feed(mg(1))
+    before = dict(net.door.hosts)
+    agent.calls[1].callback(Response(200, json.dumps(change["known"]).encode()))
+    net.accept().feed(va(1))
+    logger.remove(handler)
+    assert net.door.hosts == before and "client 0 < b'VA 3 O1" in "".join(net.trace)
+    assert sum(named.replace("known.", "") in text for text in lines) == 1, lines
+    until_asked(net, agent, 3)
+    assert net.trace[-1].endswith("/api/targets")  # the whole list, as what changed may be lost
+    agent.calls[2].callback(told(7, member(3)))
+    assert set(net.door.hosts) == {"h3"}
+
+
+def test_an_older_revision_changes_nothing_and_a_discovery_that_went_back_is_believed_when_asked_anew(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    watch, agent = followed(net, monkeypatch)
+    agent.calls[0].callback(told(9, member(1), member(2)))
+    agent.calls[1].callback(told(4, member(1, "draining"), complete=False))
+    assert watch.revision == -1 and net.door.balancer.hosts[net.door.hosts["h1"]].standing is m.Standing.READY
+    until_asked(net, agent, 3)
+    agent.calls[2].callback(told(4, member(1, "draining"), member(2)))
+    assert watch.revision == 4
+    assert net.door.balancer.hosts[net.door.hosts["h1"]].standing is m.Standing.DRAINING
+
+
+def test_a_list_that_could_not_be_taken_is_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    _, agent = followed(net, monkeypatch)
+    agent.calls[0].callback(told(5, member(1)))
+    with monkeypatch.context() as broken:
+        broken.setattr(net.pool, "listed", lambda *_: 1 / 0)
+        agent.calls[1].callback(told(6, member(2), complete=False))
+    until_asked(net, agent, 3)
+    assert not any("index=6" in one for one in net.trace)
+    agent.calls[2].callback(told(6, member(1), member(2)))
+    assert set(net.door.hosts) == {"h1", "h2"} and len(net.door.balancer.hosts) == 2
+
+
+def test_a_whole_list_that_is_empty_counts_as_told_and_the_next_one_mends_it() -> None:
+    net = Net(hosts=2)
+    first, client = net.client(), net.client()
+    first.feed(mg(1))
+    host = net.accept()
+    net.list(whole=True)
+    client.feed(mg(2))
+    client.feed(mg(3, profile="once"))
+    assert not net.reactor.tcpClients
+    host.feed(va(1))
+    asked = [one for one in net.trace if "client 1 <" in one]
+    assert len(asked) == 2 and all(int(one.split("busy ")[1].split("\\r")[0]) > 0 for one in asked)
+    assert sum("client 0 < b'VA 3 O1" in one for one in net.trace) == 1
+    net.list(member(1), member(2), whole=True)
+    client.feed(mg(4))
+    net.accept().feed(va(4))
+    assert "VA 3 O4" in net.trace[-1] and not net.door.txs
+
+
+def test_a_host_that_was_gone_and_is_told_again_gets_its_keys_back() -> None:
+    """Under the same index, as a caller may keep it: the record is a new one, the order of a group held the old."""
+    play = Play(hosts=3)
+    tx = play.arrive("a")
+    home = play.hops[tx][0]
+    play.end(tx, m.End.DONE)
+    play.list(line(home, m.Standing.GONE))
+    play.list(line(home))
+    assert play.hops[play.arrive("a")] == [home]
+
+
+def test_weights_that_change_give_the_orders_of_a_fresh_start() -> None:
+    def weighed(*hints: float) -> tuple[m.Listed, ...]:
+        return tuple(m.Listed(n, f"h{n}", 0, 0, 0, m.Standing.READY, hint, 0) for n, hint in enumerate(hints))
+
+    old, new = Play(hosts=0, hints_weigh=True), Play(hosts=0, hints_weigh=True)
+    for hints in ((1.0, 1.0, 1.0, 1.0), (4.0, 1.0, 0.5, 1.0)):
+        old.list(*weighed(*hints), whole=True)
+        for group in range(64):
+            old.balancer._order(group)
+    new.list(*weighed(4.0, 1.0, 0.5, 1.0), whole=True)
+    for group in range(64):
+        assert [h.index for h in old.balancer._order(group)] == [h.index for h in new.balancer._order(group)]
+
+
+def test_ranges_are_replaced_and_the_list_changes_while_hops_are_out() -> None:
+    play, out = Play(hosts=4), []
+    for n in range(1200):
+        out.append(play.arrive(f"k{n % 90}"))
+        if n % 97 == 0:
+            drains = n // 97 % 4
+            play.list(*(line(h, m.Standing.DRAINING if h == drains else m.Standing.READY) for h in range(4)),
+                      whole=True)
+        if len(out) > 6:
+            play.end(out.pop(0), m.End.DONE)
+    for tx in out:
+        play.end(tx, m.End.DONE)
+    balancer = play.balancer
+    assert not balancer.txs and balancer.inflight == 0 and all(h.inflight == 0 for h in balancer.hosts.values())
+    counts = sum(r.count for r in (*balancer.ranges.values(), *balancer.singles.values()))
+    assert counts == len(balancer.window) == sum(balancer.loads)
+
+
+def test_where_a_copy_lies_is_not_kept_for_hosts_that_are_gone() -> None:
+    play = Play(hosts=2)
+    for n in range(300):
+        play.list(line(n), line(n + 1), whole=True)
+        play.end(play.arrive("hot"), m.End.DONE)
+    for _ in range(600):  # past the next time that ranges are placed
+        play.end(play.arrive("hot"), m.End.DONE)
+    assert all(len(hosts) <= 2 for hosts in play.balancer.held.values())
+
+
+def test_read_list_names_what_it_can_not_use() -> None:
+    with pytest.raises(ToldWrong, match=r"members\[1\]\.host_port"):
+        read_list({"revision": 1, "complete": True, "members": [member(1), member(2) | {"host_port": 3}]}, 0)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -92,6 +92,7 @@
         (["play", "calm", "--out", "/dev/null/x"], "Not a directory"),
     ):
         code, told = rig(*words)
+        told = "".join(line for line in told.splitlines(True) if "too few cores" not in line)  # that is the machine's
         assert code == 2 and len(told.strip().splitlines()) == 1 and said in told, told
     assert rig("play", "calm", "--seconds", "soon", *out)[0] == 2
 
