--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -245,12 +245,14 @@
         place = self.places[index]
         place.ready, place.gone = False, True
         self._close_idle(place)
-        self.recall(index)
+        self._recall(place)
         self._forget(place)
 
     def recall(self, index: int) -> None:
         """Of a host that drains, or is at another address, connections carry nothing that they have not begun."""
-        place = self.places[index]
+        self._recall(self.places[index])
+
+    def _recall(self, place: HostPlace) -> None:
         for connection in list(place.all):
             if not connection.current():
                 connection.recall()
--- a/tests/test_review_links.py
+++ b/tests/test_review_links.py
@@ -338,3 +338,19 @@
     with pytest.raises(ValueError, match="listen"):
         address("localhost:80", "listen")
     assert str(Address("127.0.0.1", 80)) == "127.0.0.1:80"
+
+
+def test_a_host_that_is_gone_with_idle_connections_alone_leaves_no_place() -> None:
+    net = Net(hosts=2)
+    client = net.client()
+    for n in range(8):
+        client.feed(mg(n, key=f"k{n}"))
+        while net.reactor.tcpClients:
+            net.accept()
+        for wire in net.wires[1:]:
+            if not wire.lost and wire.protocol.hops:
+                wire.feed(va(n))
+    assert all(place.idle for place in net.pool.places.values())
+    net.list(member(1), whole=True)
+    net.take()
+    assert list(net.pool.places) == [0] and net.sockets.hosts == sum(len(p.all) for p in net.pool.places.values())
