Waits that are equal for all are drawn apart; instances with one seed no longer ask in step

Each is now from half to one and a half times as long as it was, the same on the whole, by a draw of its own for each instance (seed and number). Not from Balancer.random, so that no choice of a cache host changes: the traces differ in waits alone.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -62,6 +62,7 @@
     def __init__(self, started: m.Started) -> None:
         self._figures(started)
         self.random = Random(started.seed)
+        self.apart, self.drawn = mix(started.seed ^ mix(started.number + 1)), 0
         self.actions: list[m.Action] = []
         self.margin = started.quantum + 2 * MS
         # Cache hosts, and for each group the order in which they stand for it.
@@ -177,11 +178,17 @@
     def _list_lost(self) -> None:
         # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
         if self.start.watch_list:
-            self._wake(self.now + self.ask_wait + self.random.randrange(self.ask_wait), -2)
+            self._wake(self.now + self.ask_wait // 2 + self._about(self.ask_wait), -2)
             self.ask_wait = min(ASK_MOST, self.ask_wait * 2)
 
     # ---- timers ----
 
+    def _about(self, span: int) -> int:
+        # From half to one and a half times so long, another each time: against instances, and clients of one,
+        # that wait equally long and meet again. Not from `random`, as what is chosen must not hang on it.
+        self.drawn += 1
+        return span // 2 + mix(self.apart + self.drawn) * span // MASK
+
     def _wake(self, at: int, what: int) -> None:
         heappush(self.heap, (at, self.heap_seq, what))
         self.heap_seq += 1
@@ -738,7 +745,7 @@
         if tx.ended:
             return
         profile, first = tx.profile, self._first_run(tx)
-        wait = min(int(BACKOFF * profile.service_goal), self.start.max_backoff)
+        wait = min(self._about(int(BACKOFF * profile.service_goal)), self.start.max_backoff)
         # A repeat of a journalled tx is harmless while it is known, so for no longer is it called so.
         known = profile.kind is m.Kind.JOURNALLED and profile.scope is m.Scope.ALL
         if first is not None and self.now + wait - first.sent >= profile.memory - self.margin:
--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/front.py
@@ -150,7 +150,7 @@
 
     def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
         if self.front.full(self):
-            owed.roll_back(self.front.limits.come_again)
+            owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
         owed.counted = True
         self.open += 1
@@ -245,7 +245,7 @@
 
     def over(self, client: TenantClient) -> int:
         """Nought, or how long its next command is told to wait, without being read."""
-        return self.shut or self.dues.take(self.door.now(), client.address)
+        return self.door.about(self.shut) or self.dues.take(self.door.now(), client.address)
 
     def full(self, client: TenantClient) -> bool:
         """Whether the tenant has as many open as it may, and this client its part of them."""
--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -142,4 +142,4 @@
         self.door.tell("WARNING", "discovery: {}", reasons[0].getErrorMessage())
         self.door.list_lost()
         if not self.door.start.watch_list:
-            self.reactor.callLater(self.limits.again / SECOND, self.watch)
+            self.reactor.callLater(self.door.about(self.limits.again) / SECOND, self.watch)
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any, Protocol
 
 from ternquay import model as m
@@ -105,6 +106,7 @@
         self.tell = Flood(clock.seconds, limits.flood).tell
         self.balancer = decisions(start)
         self.timer: Call | None = None  # the decisions' one
+        self.draw = Random(f"{start.seed}.{start.number}")
         self.pool: Carrier
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
@@ -120,6 +122,10 @@
     def later(self, at: int, what: Callable[..., None], *args: Any) -> Call:
         return self.clock.callLater(max(0, at - self.now()) / SECOND, what, *args)
 
+    def about(self, span: int) -> int:
+        """From half to one and a half times so long: against clients, or instances, that wait equally long and meet."""
+        return span // 2 + int(self.draw.random() * span)
+
     # ---- events in, actions out ----
 
     def happened(self, event: m.Event) -> None:
@@ -192,7 +198,7 @@
         tx = OpenTx(self.next_tx, asker, arrival.message)
         self.next_tx += 1
         if len(self.txs) >= self.limits.open_txs or self.held > self.limits.held:
-            asker.roll_back(self.limits.come_again)
+            asker.roll_back(self.about(self.limits.come_again))
             return tx.id
         self.txs[tx.id] = tx
         self.held += arrival.message.size()
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -114,7 +114,7 @@
         if late:
             self.front.door.tell("WARNING", "short of CPU: what comes late in a turn of the loop is rolled back")
         if self.crowded or len(self.owed) > self.front.limits.pipelined or late:
-            owed.roll_back(self.front.limits.come_again)
+            owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
         self.arrives(command, owed, turn.unread(now, self.since))
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -202,8 +202,8 @@
     """Front, door and pool on a clock of the test's own, and the trace of all that is written."""
 
     def __init__(self, hosts: int = 1, sockets: int = 64, limits: dict[str, Any] | None = None,
-                 **terms: Any) -> None:
-        facts = FACTS | {"Limits": FACTS["Limits"] | terms}
+                 facts: dict[str, Any] | None = None, **terms: Any) -> None:
+        facts = FACTS | {"Limits": FACTS["Limits"] | terms} | (facts or {})
         self.reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
         self.trace: list[str] = []
         self.wires: list[Wire] = []
