Hosted: a file cut off is not used, a change is answered by what is on disk, ends leave nothing over

A file now ends with [end]; cut at each of its lengths it is refused. - A file without [api] emptied the operators' keys at SIGHUP (host.py `reload`): all were locked out. - A COMMIT that raises may be on disk (store.py): it was answered "was not made", the registry in memory stayed a version behind, and every later change failed as "version N is there already" until a start. The file is opened anew, as a start would, and what is found there counts; where it can't be, the answer says so, and the registry is brought to what is stored before the next change. - A change that was stored and could not be applied was answered as a fault without a word of the store; its listeners stayed bound, and the next change skipped what was left of it (tenancy.py `change` had moved on). A tenant removed while it dialled raised in pool.drop, as there is no transport yet: its parts were never settled. - A call that came after SIGTERM was never answered (changes.py `_queued`); a change at the disk then opened a new listener. - A call with a key of repeats, whose token was taken away while it waited, got 500 for 401. - An ended tenant that could not be removed once (disk full) was never tried again.

--- a/ternquay/hosted/changes.py
+++ b/ternquay/hosted/changes.py
@@ -19,7 +19,7 @@
 
 from ternquay.hosted.api import Api, Call, Look, Proposal, Reply, problem, tag
 from ternquay.hosted.registry import Registry, Remove
-from ternquay.hosted.store import Answered, Commit, Logged, Noted, Store, StoreError
+from ternquay.hosted.store import Answered, Commit, Logged, Noted, Store, StoreError, StoreUnsure
 from ternquay.hosted.tenant import Unfit
 
 SECOND = 1_000_000_000
@@ -30,6 +30,10 @@
 SERVICE = "service"  # who makes the changes that nobody asked for
 
 
+class Unapplied(Exception):
+    """A change is stored, and a fault of the program keeps it from being in force."""
+
+
 class Applier(Protocol):
     """Whoever runs the tenants."""
 
@@ -67,6 +71,7 @@
         self.watches: list[Deferred[None]] = []
         self.notes: dict[tuple[str, str, str, int, str], Noted] = {}
         self.noting = self.ended = False
+        self.unsure = False  # the store may hold one more change than is in force
 
     # ---- calls ----
 
@@ -90,6 +95,8 @@
         return self._queued(Remove(name))
 
     def _queued(self, what: Call | Remove) -> "Deferred[Reply]":
+        if self.ended:
+            return succeed(problem(503, "the service ends", headers={"retry-after": "1"}))
         done: Deferred[Reply] = Deferred()
         self.waiting.append((what, done))
         self._next()
@@ -113,6 +120,12 @@
         """Whatever goes wrong is one call's fault and answered."""
 
         def fault(failure: Any) -> Reply:
+            if failure.check(StoreUnsure):
+                self.unsure = True
+                logger.bind(cause=str(failure.value)).error("whether a change was stored can't be told")
+                return problem(507, "whether the change was stored can't be told; call again, with the key it had")
+            if failure.check(Unapplied):
+                return problem(500, "the change is stored, and will be in force after the next change or start")
             if failure.check(StoreError):
                 logger.bind(cause=str(failure.value)).error("the store takes no changes")
                 return problem(507, "the change could not be stored, and was not made")
@@ -130,9 +143,12 @@
         now = self.clock()
         if self.ended:
             return problem(503, "the service ends", headers={"retry-after": "1"})
+        yield from self._caught_up()
         outcome = self.api.handle(call, self.applier.registry, now)  # as things stand by now
         key = call.headers.get("idempotency-key", "")
-        if key and isinstance(outcome, Proposal | Reply):
+        if isinstance(outcome, Reply) and outcome.status in (401, 403):
+            self.note(call, outcome)  # its key was taken away while it waited
+        elif key and isinstance(outcome, Proposal | Reply):
             again = yield self._repeated(call, key)
             if again is not None:
                 return again
@@ -159,13 +175,34 @@
         except BaseException:
             prepared.drop()
             raise
-        self.applier.apply(after, tenant, prepared)
+        self._apply(after, tenant, prepared)
         logged = commit.logged
         logger.bind(tenant=tenant, version=logged.version, who=logged.who, kind=logged.kind).info("changed")
         self._news()
 
+    def _apply(self, after: Registry, tenant: str, prepared: Any) -> None:
+        try:
+            self.applier.apply(after, tenant, prepared)
+        except Exception as fault:
+            logger.bind(tenant=tenant, version=after.version).exception("a change is stored and could not be applied")
+            self._news()
+            raise Unapplied from fault
+
+    def _caught_up(self) -> Any:
+        """What is stored goes before what is in force: a change of which nothing was known may be there."""
+        if not self.unsure:
+            return
+        there, here = (yield self.stored.do(self.stored.store.registry)), self.applier.registry
+        for name in sorted({*there.tenants, *here.tenants}):
+            if there.tenants.get(name) != here.tenants.get(name):
+                self._apply(there, name, self.applier.prepare(there, name))
+        self.unsure = False
+
     @inlineCallbacks
     def _removed(self, change: Remove) -> Any:
+        yield from self._caught_up()
+        if change.name not in self.applier.registry.tenants:
+            return Reply(200, {})
         after = self.applier.registry.changed(change)
         logged = Logged(after.version, self.clock(), SERVICE, change.name, "gone", b"{}")
         yield from self._made(after, change.name, Commit(logged, None))
--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -26,6 +26,7 @@
 from ternquay.net.turn import Turn
 
 SWEEP = 250 * MS
+REMOVE_AGAIN = 1.0  # seconds
 WEIGHT_LEAST = 0.001  # of a tenant that was promised nothing
 OWN_DESCRIPTORS = 32  # standard streams, poll, wake-up, store, listeners of the API and a spare
 
@@ -89,15 +90,27 @@
             raise Unfit(f"listeners[{at}]", fault.why) from fault
 
     def apply(self, registry: Registry, name: str, prepared: Prepared) -> None:
-        """All of it, in one step of the loop."""
+        """All of it, in one step of the loop. What raises leaves the other tenants as they are."""
         self.registry = registry
+        if self.ending:
+            # It was at the disk as the end was told: it counts from the next start on, and opens nothing now.
+            prepared.drop()
+            return
+        try:
+            self._apply(registry, name, prepared)
+        except BaseException:
+            prepared.drop()
+            raise
+
+    def _apply(self, registry: Registry, name: str, prepared: Prepared) -> None:
         entry, tenancy = registry.tenants.get(name), self.tenancies.get(name)
         if entry is None:
             if tenancy is not None:
                 del self.tenancies[name], self.by_id[tenancy.id]
-                tenancy.end()
             self.removing.discard(name)
             self._settle()
+            if tenancy is not None:
+                tenancy.end()
         elif tenancy is None:
             tenancy = self._made(name)
             self._settle()
@@ -155,12 +168,19 @@
             name = tenancy.entry.tenant.name
             if tenancy.over() and name not in self.removing and not self.ending:
                 self.removing.add(name)
-                self.remove(name)
+                asked = self.remove(name)
+                if asked is not None:
+                    asked.addCallback(self._asked, name)
         for id, due in self.lent.owed():
             if id in self.by_id:
                 self.by_id[id].front.give_back(due)
         self._take_memory_back()
 
+    def _asked(self, reply: Any, name: str) -> None:
+        """One that could not be removed, as the disk is full, is tried again later."""
+        if reply.status >= 300:
+            self.reactor.callLater(REMOVE_AGAIN, self.removing.discard, name)
+
     def _take_memory_back(self) -> None:
         """Where all hold more than there is, whoever is furthest over its part loses what it has half-read."""
         held = {tenancy: tenancy.held() for tenancy in self.tenancies.values()}
@@ -186,9 +206,11 @@
         for change in differences(self.registry, registry):
             try:
                 self.change(change)
-            except (Unfit, NotThere, Stale) as fault:
+            except Exception as fault:  # of one tenant, and no reason to leave out the others
                 name = change.tenant.name if isinstance(change, Make | Replace) else change.name
-                logger.bind(tenant=name, cause=str(fault)).error("the file's change was not made")
+                expected = isinstance(fault, Unfit | NotThere | Stale)
+                logger.opt(exception=not expected).bind(tenant=name, cause=str(fault)).error(
+                    "the file's change was not made")
 
     # ---- the end ----
 
@@ -312,7 +334,8 @@
             if getattr(new, field) != getattr(self.service, field) and field != "process":
                 logger.warning("the file has another {}, which waits for the next start", field)
         if self.keeper is not None:
-            self.keeper.api.operators = new.operators
+            if new.api is not None:  # else all of them would be locked out until the next start
+                self.keeper.api.operators = new.operators
         elif not self.host.ending:
             self.host.follow(new.registry)
         logger.info("read the file again")
--- a/ternquay/hosted/service.py
+++ b/ternquay/hosted/service.py
@@ -23,6 +23,7 @@
 from ternquay.hosted.registry import Make, Registry
 from ternquay.hosted.tenancy import Process
 from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit
+from ternquay.net.launch import descriptors
 
 MS = 1_000_000
 Bounded = Annotated[int, msgspec.Meta(ge=1, le=10**6)]
@@ -103,10 +104,18 @@
 
 
 def read_tables(path: Path) -> dict[str, Any]:
+    """Raises ServiceError."""
     try:
-        return tomllib.loads(path.read_text(encoding="utf-8"))
+        text = path.read_text(encoding="utf-8")
+        told = tomllib.loads(text)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
         raise ServiceError(f"{path}: {fault}") from fault
+    # Against a file that is half written: cut off between two tables it is TOML, and all that it lacks would be ended.
+    lines = [line for line in (line.partition("#")[0].strip() for line in text.splitlines()) if line]
+    if not lines or lines[-1] != "[end]":
+        raise ServiceError(f"{path}: end: the last line is not [end], so the file may be cut off")
+    del told["end"]
+    return told
 
 
 def read_service(path: Path) -> Service:
@@ -132,7 +141,7 @@
     if told.number >= told.balancers:
         raise Unfit("process.number", f"there are {told.balancers} balancers, from 0")
     seed = told.seed if told.seed is not None else Random().getrandbits(64)
-    return Process(told.sockets, told.memory_mb, told.balancers, told.number, seed)
+    return Process(min(told.sockets, descriptors()), told.memory_mb, told.balancers, told.number, seed)
 
 
 def _beside(path: Path, told: StoreDocument | None) -> str:
--- a/ternquay/hosted/store.py
+++ b/ternquay/hosted/store.py
@@ -45,6 +45,10 @@
     """The store can't be read or written; the text says why."""
 
 
+class StoreUnsure(StoreError):
+    """Whether a change is on disk can't be told for now."""
+
+
 @dataclass(slots=True, frozen=True)
 class Noted:
     """One line of the audit log; `many`: calls that were alike."""
@@ -110,33 +114,49 @@
 class Store:
     def __init__(self, path: Path | str, step: Callable[[str], None] = lambda what: None) -> None:
         self.path, self.step = str(path), step
+        self.lost = False  # it has to be opened again before anything else
         try:
-            self.db = sqlite3.connect(self.path, isolation_level=None, timeout=2.0, check_same_thread=False)
-            self._open()
+            self.db = self._connected()
+            self._open(self.db)
         except sqlite3.Error as fault:
             raise StoreError(f"{path}: {fault}") from fault
 
-    def _open(self) -> None:
+    def _connected(self) -> sqlite3.Connection:
+        return sqlite3.connect(self.path, isolation_level=None, timeout=2.0, check_same_thread=False)
+
+    def _ready(self) -> sqlite3.Connection:
+        """Raises StoreError."""
+        try:
+            if self.lost:
+                self.close()
+                self.db = self._connected()
+                self._open(self.db)
+                self.lost = False
+            return self.db
+        except sqlite3.Error as fault:
+            raise StoreError(f"{self.path}: {fault}") from fault
+
+    def _open(self, db: sqlite3.Connection) -> None:
         # One process has the store: a second one would acknowledge changes that the first knows nothing of.
-        self.db.execute("PRAGMA locking_mode = EXCLUSIVE")
-        mode = self.db.execute("PRAGMA journal_mode = WAL").fetchone()[0]
+        db.execute("PRAGMA locking_mode = EXCLUSIVE")
+        mode = db.execute("PRAGMA journal_mode = WAL").fetchone()[0]
         if mode != "wal":
             raise StoreError(f"{self.path}: no write-ahead log can be kept there, only {mode}")
-        self.db.execute("PRAGMA synchronous = FULL")
-        self.db.execute("PRAGMA wal_autocheckpoint = 200")
-        if self.db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
+        db.execute("PRAGMA synchronous = FULL")
+        db.execute("PRAGMA wal_autocheckpoint = 200")
+        if db.execute("PRAGMA quick_check").fetchone()[0] != "ok":
             raise StoreError(f"{self.path}: is damaged")
-        self.db.execute("BEGIN IMMEDIATE")
+        db.execute("BEGIN IMMEDIATE")
         for statement in TABLES.split(";"):
-            self.db.execute(statement)
-        self.db.execute("INSERT OR IGNORE INTO meta VALUES ('format', ?), ('version', 0)", (FORMAT,))
-        self.db.execute("COMMIT")
-        found = self._meta("format")
+            db.execute(statement)
+        db.execute("INSERT OR IGNORE INTO meta VALUES ('format', ?), ('version', 0)", (FORMAT,))
+        db.execute("COMMIT")
+        found = self._meta(db, "format")
         if found != FORMAT:
             raise StoreError(f"{self.path}: is of format {found}, this program reads {FORMAT}")
 
-    def _meta(self, name: str) -> int:
-        row = self.db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
+    def _meta(self, db: sqlite3.Connection, name: str) -> int:
+        row = db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
         return int(row[0])
 
     def close(self) -> None:
@@ -145,9 +165,10 @@
     # ---- reading ----
 
     def registry(self) -> Registry:
+        db = self._ready()
         try:
-            rows = self.db.execute("SELECT name, version, incarnation, body FROM tenants ORDER BY name").fetchall()
-            version = self._meta("version")
+            rows = db.execute("SELECT name, version, incarnation, body FROM tenants ORDER BY name").fetchall()
+            version = self._meta(db, "version")
         except sqlite3.Error as fault:
             raise StoreError(f"{self.path}: {fault}") from fault
         tenants = {name: Entry(unkept(body), at, first) for name, at, first, body in rows}
@@ -171,70 +192,87 @@
         return [(row[0], Noted(*row[1:])) for row in rows]
 
     def _rows(self, text: str, terms: tuple[Any, ...]) -> list[Any]:
+        db = self._ready()
         try:
-            return self.db.execute(text, terms).fetchall()
+            return db.execute(text, terms).fetchall()
         except sqlite3.Error as fault:
             raise StoreError(f"{self.path}: {fault}") from fault
 
     # ---- writing ----
 
     def commit(self, change: Commit) -> None:
-        """All of it or none. When it returns, it is on disk."""
-        self._all_or_none(lambda: self._write(change))
+        """All of it or none: on disk when it returns, not there when it raises, but for StoreUnsure."""
+        self._all_or_none(lambda db: self._write(db, change), change.logged.version)
 
     def note(self, lines: Iterable[Noted]) -> None:
         """Lines of the audit log that belong to no change."""
-        self._all_or_none(lambda: self._note(lines))
+        self._all_or_none(lambda db: self._note(db, lines))
 
-    def _all_or_none(self, what: Callable[[], None]) -> None:
+    def _all_or_none(self, what: Callable[[sqlite3.Connection], None], version: int = 0) -> None:
+        db = self._ready()
+        committing = False
         try:
             self.step("begin")
-            self.db.execute("BEGIN IMMEDIATE")
+            db.execute("BEGIN IMMEDIATE")
             try:
-                what()
+                what(db)
                 self.step("written")
-                self.db.execute("COMMIT")
+                committing = True
+                db.execute("COMMIT")
             except BaseException:
-                if self.db.in_transaction:
-                    self.db.execute("ROLLBACK")
+                if db.in_transaction:
+                    db.execute("ROLLBACK")
                 raise
             self.step("committed")
         except sqlite3.Error as fault:
-            raise StoreError(f"{self.path}: {fault}") from fault
+            if not committing or not self._is_there(version, fault):
+                raise StoreError(f"{self.path}: {fault}") from fault
+
+    def _is_there(self, version: int, fault: sqlite3.Error) -> bool:
+        """After a COMMIT that raised: its last page may be in the log all the same, and be found by a later start.
+
+        What a later start would find is what counts, so the file is opened anew, as that would.
+        """
+        self.lost = True
+        try:
+            db = self._ready()
+            return version > 0 and self._meta(db, "version") == version
+        except (StoreError, sqlite3.Error) as unseen:
+            raise StoreUnsure(f"{self.path}: {fault}; {unseen}") from fault
 
-    def _write(self, change: Commit) -> None:
+    def _write(self, db: sqlite3.Connection, change: Commit) -> None:
         logged = change.logged
-        if logged.version <= self._meta("version"):
+        if logged.version <= self._meta(db, "version"):
             raise StoreError(f"{self.path}: version {logged.version} is there already")
         if change.entry is None:
-            self.db.execute("DELETE FROM tenants WHERE name = ?", (logged.tenant,))
+            db.execute("DELETE FROM tenants WHERE name = ?", (logged.tenant,))
         else:
-            self.db.execute("INSERT OR REPLACE INTO tenants VALUES (?, ?, ?, ?)", (
+            db.execute("INSERT OR REPLACE INTO tenants VALUES (?, ?, ?, ?)", (
                 logged.tenant, change.entry.version, change.entry.incarnation, kept(change.entry.tenant)))
         self.step("tenant")
-        self.db.execute("UPDATE meta SET value = ? WHERE name = 'version'", (logged.version,))
+        db.execute("UPDATE meta SET value = ? WHERE name = 'version'", (logged.version,))
         self.step("version")
-        self.db.execute("INSERT INTO changes VALUES (?, ?, ?, ?, ?, ?)", (
+        db.execute("INSERT INTO changes VALUES (?, ?, ?, ?, ?, ?)", (
             logged.version, logged.at, logged.who, logged.tenant, logged.kind, logged.body))
-        self.db.execute("DELETE FROM changes WHERE version <= ?", (logged.version - CHANGES_MOST,))
+        db.execute("DELETE FROM changes WHERE version <= ?", (logged.version - CHANGES_MOST,))
         self.step("logged")
         if change.answered is not None:
-            self._answer(logged.at, change.answered)
+            self._answer(db, logged.at, change.answered)
         self.step("answered")
         if change.noted is not None:
-            self._note([change.noted])
+            self._note(db, [change.noted])
         self.step("noted")
 
-    def _answer(self, at: int, one: Answered) -> None:
-        self.db.execute("INSERT INTO answers VALUES (?, ?, ?, ?, ?, ?, ?)", (
+    def _answer(self, db: sqlite3.Connection, at: int, one: Answered) -> None:
+        db.execute("INSERT INTO answers VALUES (?, ?, ?, ?, ?, ?, ?)", (
             one.who, one.key, one.asked, at, one.status, one.version, one.body))
-        self.db.execute("DELETE FROM answers WHERE at < ?", (at - ANSWERS_KEPT,))
+        db.execute("DELETE FROM answers WHERE at < ?", (at - ANSWERS_KEPT,))
         if one.version % 64 == 0:  # it looks through all of them
-            self.db.execute("DELETE FROM answers WHERE rowid IN (SELECT rowid FROM answers ORDER BY at DESC LIMIT -1 "
+            db.execute("DELETE FROM answers WHERE rowid IN (SELECT rowid FROM answers ORDER BY at DESC LIMIT -1 "
                             "OFFSET ?)", (ANSWERS_MOST,))
 
-    def _note(self, lines: Iterable[Noted]) -> None:
+    def _note(self, db: sqlite3.Connection, lines: Iterable[Noted]) -> None:
         rows = [(one.at, one.who, one.peer, one.call, one.status, one.why, one.many) for one in lines]
-        self.db.executemany("INSERT INTO audit (at, who, peer, call, status, why, many) VALUES (?, ?, ?, ?, ?, ?, ?)",
+        db.executemany("INSERT INTO audit (at, who, peer, call, status, why, many) VALUES (?, ?, ?, ?, ?, ?, ?)",
                             rows)
-        self.db.execute("DELETE FROM audit WHERE id <= (SELECT max(id) FROM audit) - ?", (AUDIT_MOST,))
+        db.execute("DELETE FROM audit WHERE id <= (SELECT max(id) FROM audit) - ?", (AUDIT_MOST,))
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -161,7 +161,8 @@
 
     def drop(self) -> None:
         for port in self.ports.values():
-            port.stopListening()
+            if port.held:  # else it is in use
+                port.stopListening()
 
 
 class Held(TenantListener):
@@ -224,8 +225,14 @@
 
     def change(self, entry: Entry, prepared: Prepared) -> None:
         """The tenant is this from now on; transactions that are open end by what they were taken with."""
-        old, new = self.entry.tenant, entry.tenant
-        self.entry = entry
+        before, self.entry = self.entry, entry
+        try:
+            self._change(before.tenant, entry.tenant, prepared)
+        except BaseException:
+            self.entry = before  # so that the next change makes up for all that differs
+            raise
+
+    def _change(self, old: Tenant, new: Tenant, prepared: Prepared) -> None:
         if old.limits != new.limits or old.profiles != new.profiles:
             self._limited(new)
         if (old.profiles, old.rules, old.shares) != (new.profiles, new.rules, new.shares):
--- a/ternquay/rig/tenants.py
+++ b/ternquay/rig/tenants.py
@@ -108,7 +108,7 @@
         self.file.write_text(
             f'name = "rig"\n[process]\nseed = {seed}\nsockets = 1024\n[store]\npath = "registry.db"\n'
             f'[api]\nlisten = "{self.api}"\n[[api.operators]]\nname = "rig"\n'
-            f'digest = "{keys.digest_of(self.token).hex()}"\n')
+            f'digest = "{keys.digest_of(self.token).hex()}"\n[end]\n')
 
     def start(self) -> None:
         command = [sys.executable, "-m", "ternquay", "host", "--config", str(self.file.resolve())]
--- a/tests/hosted_helper.py
+++ b/tests/hosted_helper.py
@@ -43,6 +43,7 @@
         self.text = (f'[process]\nsockets = 256\n[store]\npath = "registry.db"\n[api]\nlisten = "{self.api}"\n'
                      f'calls_a_second = 500.0\nburst = 500\n{more}\n{tls}\n[[api.operators]]\nname = "main"\n'
                      f'digest = "{keys.digest_of(self.operator).hex()}"\n')
+        self.text += "[end]\n"
         self.file.write_text(self.text)
         self.process: subprocess.Popen[bytes] | None = None
 
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -347,7 +347,7 @@
             f'[[tenants]]\nname = "{name}"\nlisteners = ["{listen}"]\nstate = "{state}"\n'
             f'servers = [{{ name = "h", place = "{host.place}" }}]\n'
             'profiles = [{ name = "read", kind = "idempotent", service_goal_ms = 300, hard_limit_ms = 900 }]\n'
-            for name, listen, state in those)
+            for name, listen, state in those) + "[end]\n"
 
     file = tmp_path / "service.toml"
     file.write_text(text(("uno", listens[0], "active"), ("dos", listens[1], "active")))
@@ -394,7 +394,7 @@
 ])
 def test_a_file_that_can_not_be_used_is_told_in_one_line(text: str, named: str, tmp_path: Path) -> None:
     file = tmp_path / "s.toml"
-    file.write_text(text)
+    file.write_text(f"{text}\n[end]\n")
     for command in ("check", "host"):
         found = subprocess.run([sys.executable, "-m", "ternquay", command, "--config", str(file)], cwd=ROOT,
                                capture_output=True, text=True, timeout=30, check=False)
@@ -429,7 +429,8 @@
 def test_the_client_plans_applies_and_tells_scripts_what_came_of_it(hosted: Hosted, tmp_path: Path) -> None:
     listen, file = free_place("127.0.0.1"), tmp_path / "tenants.toml"
     file.write_text(f'[[tenants]]\nname = "plan"\nlisteners = ["{listen}"]\n'
-                    'profiles = [{ name = "read", kind = "idempotent", service_goal_ms = 300, hard_limit_ms = 900 }]\n')
+                    'profiles = [{ name = "read", kind = "idempotent", service_goal_ms = 300, hard_limit_ms = 900 }]\n'
+                    '[end]\n')
     code, out, _ = admin(hosted, "plan", str(file), "--detect")
     assert code == 7 and out.startswith("make plan\n") and "profiles: nothing ->" in out
     assert admin(hosted, "apply", str(file))[0] == 0
@@ -454,7 +455,7 @@
     assert "nonsense" not in admin(hosted, "audit")[1]
     code, _, errors = admin(hosted, "apply", str(tmp_path / "nowhere.toml"))
     assert (code, errors.count("\n")) == (2, 1)
-    file.write_text("tenants = []\n")
+    file.write_text("tenants = []\n[end]\n")
     assert admin(hosted, "apply", str(file), "--remove")[0] == 0
     unreached = subprocess.run([sys.executable, "-m", "ternquay", "admin", "--url", "http://127.0.0.1:1", "--token",
                                 "x", "tenants", "list"], cwd=ROOT, capture_output=True, text=True, check=False)
