--- a/tests/test_review_input.py
+++ b/tests/test_review_input.py
@@ -209,7 +209,7 @@
 @pytest.mark.parametrize("stays", [True, False])
 def test_a_list_that_could_not_be_taken_is_told_again(monkeypatch: pytest.MonkeyPatch, stays: bool) -> None:
     net = Net()
-    _, agent = followed(net, monkeypatch)
+    watch, agent = followed(net, monkeypatch)
     agent.calls[0].callback(told(5, member(1)))
     with monkeypatch.context() as broken:
         broken.setattr(net.pool, "listed", lambda *_: 1 / 0)
@@ -217,6 +217,7 @@
     until_asked(net, agent, 3)
     assert not any("index=6" in one for one in net.trace)
     agent.calls[2].callback(told(6, member(1), *([member(2)] if stays else [])))
+    assert watch.revision == 6
     left = {"h1", "h2"} if stays else {"h1"}
     assert set(net.door.hosts) == left and len(net.door.balancer.hosts) == len(net.pool.places) == len(left)
 
