--- /dev/null
+++ b/tests/test_review_gaps.py
@@ -0,0 +1,49 @@
+"""What small faults put in by hand showed to be tested by nothing (docs/readiness-review.md, tests of the tests)."""
+
+from pathlib import Path
+
+from ternquay import model as m
+from ternquay.balance import MS
+from ternquay.hosted.store import Store
+from ternquay.wirehost.serve import Instance
+from tests.helper import FACTS, Net
+from tests.test_net import mg, va
+
+
+def test_one_connection_has_so_many_waiting_and_what_is_beyond_is_told_to_come_back() -> None:
+    net = Net(limits={"pipelined": 3, "sockets": 9})
+    client = net.client()
+    client.feed(b"".join(mg(n, key=f"k{n}") for n in range(5)))
+    assert len(net.door.txs) == 3
+    while net.reactor.tcpClients:
+        net.accept()
+    for wire in net.wires[1:]:
+        wire.feed(va(int(wire.protocol.hops[0].tx.message.id)))
+    told = "".join(one for one in net.trace if "client 0 <" in one)
+    assert told.count("VA 3") == 3 and told.count("SERVER_ERROR busy") == 2
+
+
+def test_bytes_that_the_system_has_taken_are_counted_back() -> None:
+    net = Net()
+    client = net.client()
+    for n in range(3):
+        client.feed(mg(n))
+        (net.accept() if net.reactor.tcpClients else net.wires[1]).feed(va(n))
+    assert net.front.queued == 0 and client.protocol.queued == 0
+
+
+def test_the_wait_of_a_rollback_is_in_microseconds_on_the_wire() -> None:
+    one = Instance(7, FACTS)
+    one.words[0] = "c"
+    assert one.action(3, m.RollBack(0, 50 * MS)) == {"msg": "Busy", "Who": 3, "Corr": "c", "Backoff": 50_000}
+    assert one.action(3, m.SendHop(0, one.host("h"), 7 * MS))["NotPast"] == 7_000
+
+
+def test_a_commit_is_synced_before_it_counts_as_made(tmp_path: Path) -> None:
+    """No kill of a process shows it: what is not synced survives that, and is lost with the machine's power."""
+    store = Store(tmp_path / "x.db")
+    assert store.db.execute("PRAGMA synchronous").fetchone()[0] == 2
+    assert store.db.execute("PRAGMA journal_mode").fetchone()[0] == "wal"
+    store.lost = True
+    assert store.changes(0, 1) == [] and store.db.execute("PRAGMA synchronous").fetchone()[0] == 2
+    store.close()
