--- a/tests/test_review_gaps.py
+++ b/tests/test_review_gaps.py
@@ -1,10 +1,15 @@
 """What small faults put in by hand showed to be tested by nothing (docs/readiness-review.md, tests of the tests)."""
 
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
 from ternquay import model as m
 from ternquay.balance import MS
 from ternquay.hosted.store import Store
+from ternquay.rig import records
+from ternquay.rig.judge import _drains
+from ternquay.rig.terms import read_day
 from ternquay.wirehost.serve import Instance
 from tests.helper import FACTS, Net
 from tests.test_net import mg, va
@@ -47,3 +52,18 @@
     store.lost = True
     assert store.changes(0, 1) == [] and store.db.execute("PRAGMA synchronous").fetchone()[0] == 2
     store.close()
+
+
+def test_the_judge_ends_the_grace_of_a_drain_where_the_rule_does() -> None:
+    day = read_day("calm")
+    grace, told = (day.rules.drain_grace_ms + day.rules.slack_ms) * MS, 10_000 * MS
+
+    def convicted(came: int) -> bool:
+        hop = records.Hop("t1", "", 0, False, 3, "h-3-1", came, came + MS)
+        case: Any = SimpleNamespace(
+            day=day, slack=day.rules.slack_ms * MS, tries=[SimpleNamespace(id="t1", balancer=0)], hops={"t1": [hop]},
+            saw=SimpleNamespace(fleet=SimpleNamespace(told=[records.Told(0, told, "h-3-1", "draining")])),
+            life_at=lambda balancer, at: SimpleNamespace(started=0))
+        return bool(list(_drains(case)))
+
+    assert [convicted(told + grace + ms * MS) for ms in (-200, -1, 1, 200)] == [False, False, True, True]
