--- a/ternquay/hosted/admin.py
+++ b/ternquay/hosted/admin.py
@@ -4,6 +4,7 @@
 7 `plan --detect` found differences.
 """
 
+import atexit
 import json
 import sys
 import tomllib
@@ -113,7 +114,9 @@
 
 
 def caller() -> Caller:
-    return Caller(Chosen.target)
+    one = Caller(Chosen.target)
+    atexit.register(one.close)  # a call that fails ends the command where it stands
+    return one
 
 
 def get(path: str) -> Any:
--- a/ternquay/hosted/caller.py
+++ b/ternquay/hosted/caller.py
@@ -62,6 +62,12 @@
             raise CallFailed(f"--ca, --certificate, --key: {fault}", BAD) from fault
         return http.client.HTTPSConnection(self.host, self.port, timeout=self.target.timeout, context=context)
 
+    def close(self) -> None:
+        """The next call makes a connection anew."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
     def call(self, method: str, path: str, body: Any = None, version: int = 0, key: str = "") -> Answer:
         """One call. A changing one has an Idempotency-Key of its own, so that it may be repeated when its answer was
         lost; what is told to come back later is, a few times."""
@@ -77,7 +83,7 @@
             try:
                 status, found, told = self._once(method, path, text, headers)
             except (OSError, http.client.HTTPException) as fault:
-                self.connection = None
+                self.close()
                 if last or isinstance(fault, ssl.SSLCertVerificationError):
                     raise CallFailed(f"{self.target.url}: {fault or type(fault).__name__}", NOT_NOW) from fault
                 time.sleep(PAUSE)
@@ -96,7 +102,7 @@
         answer = self.connection.getresponse()
         body = answer.read()
         if answer.will_close:
-            self.connection = None
+            self.close()
         return answer.status, body, {name.lower(): value for name, value in answer.getheaders()}
 
     def pages(self, path: str, name: str) -> list[Any]:
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -50,7 +50,7 @@
             threading.Thread(target=self.answers, args=(client,), daemon=True).start()
 
     def answers(self, client: socket.socket) -> None:
-        with suppress(OSError):
+        with suppress(OSError), client:
             self.answer(client)
 
     def answer(self, client: socket.socket) -> None:
@@ -221,6 +221,7 @@
         # Told so and cut off, and connections are accepted at that rate: whoever goes on at once is slowed down.
         assert statuses[:5] == [200] * 5 and statuses.count(429) >= 3 and set(waits) == {"1"}
         assert time.monotonic() - began > 0.3
+        connection.close()
     finally:
         one.kill()
 
--- a/tests/test_review_gaps.py
+++ b/tests/test_review_gaps.py
@@ -1,6 +1,10 @@
 """What small faults put in by hand showed to be tested by nothing (docs/readiness-review.md, tests of the tests)."""
 
+import subprocess
+import sys
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from threading import Thread
 from types import SimpleNamespace
 from typing import Any
 
@@ -67,3 +71,32 @@
         return bool(list(_drains(case)))
 
     assert [convicted(told + grace + ms * MS) for ms in (-200, -1, 1, 200)] == [False, False, True, True]
+
+
+class NotThere(BaseHTTPRequestHandler):
+    """An API that has nothing, and keeps its connections."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        body = b'{"detail": "there is nothing of that name"}'
+        self.send_response(404)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format: str, *args: object) -> None:
+        pass
+
+
+def test_the_client_of_the_api_leaves_no_connection_open_when_a_call_failed() -> None:
+    """Under -X dev the one line for scripts was followed by six of an unclosed socket."""
+    with ThreadingHTTPServer(("127.0.0.1", 0), NotThere) as api:
+        api.daemon_threads = True
+        Thread(target=api.serve_forever, daemon=True).start()
+        done = subprocess.run(
+            [sys.executable, "-X", "dev", "-m", "ternquay", "admin", "--url", f"http://127.0.0.1:{api.server_port}",
+             "--token", "x", "tenants", "show", "nobody"],
+            cwd=Path(__file__).parents[1], capture_output=True, text=True, timeout=60, check=False)
+        api.shutdown()
+    assert (done.returncode, done.stderr.count("\n")) == (4, 1), done.stderr
