--- a/tests/test_review_links.py
+++ b/tests/test_review_links.py
@@ -151,8 +151,10 @@
 
 def test_of_the_decisions_timers_there_is_one() -> None:
     net = Net()
-    for n in range(200):  # each is to be looked at again a little sooner than the one before
-        net.client().feed(mg(n, key=f"k{n}", ttl=290 - n))
+    client = net.client()
+    for n in range(200):  # each is to be looked at again a little sooner than the one before, and than the next tick
+        client.feed(mg(n, key=f"k{n}", ttl=240 - n))
+    assert len(net.door.txs) > 100
     left = [call for call in net.reactor.getDelayedCalls() if call.func == net.door.happened]
     assert len(left) == 1, len(left)
 
