A second address for operators, and a drain with the way back

Cause: there was no address to call; front.py answered every mn with MN and kept idle connections. Ruled out: the front's own lag (it asks every 0.1 s), and the end on SIGTERM, which is another path. Change: management/EDGE_MANAGEMENT (net/management.py), on the HTTP bounds of the hosted API, now in net/http.py for both; Front.leave spares connections that have just come, cut_off ends what does not move. A part of the descriptors is set aside for operators' callers. Tests: tests/test_management.py.

--- a/ternquay/hosted/api.py
+++ b/ternquay/hosted/api.py
@@ -92,6 +92,7 @@
 
 TITLES = {400: "Bad call", 401: "Unauthorized", 403: "Forbidden", 404: "Not found", 405: "Method not allowed",
           409: "Conflict", 411: "Length required", 412: "Precondition failed", 413: "Too large", 415: "No JSON",
+          431: "Line too long",
           422: "Unfit", 428: "Precondition required", 429: "Too many calls", 500: "Fault",
           503: "Not now", 507: "Trouble with the disk"}
 
--- a/ternquay/hosted/http.py
+++ b/ternquay/hosted/http.py
@@ -1,10 +1,9 @@
-"""The administration API on sockets: HTTP/1.1 by the library, with bounds of our own on all that a caller may send.
+"""The administration API on sockets: the calls of net/http.py, with a rate, a certificate and documents.
 
-Connections, header lines, bodies, calls a second and the time that a half call may take are bounded. Who is over the
-rate is told so and cut off, and connections are accepted at that rate; bodies too large are turned away by their
-length, before they come.
+Who is over the rate is told so and cut off, and connections are accepted at that rate.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qsl
@@ -12,9 +11,6 @@
 import orjson
 from loguru import logger
 from twisted.internet.error import CannotListenError
-from twisted.internet.protocol import connectionDone
-from twisted.python.failure import Failure
-from twisted.web import http
 
 from ternquay.hosted.api import Call, Reply, problem
 from ternquay.hosted.changes import Keeper
@@ -22,107 +18,50 @@
 from ternquay.hosted.fairness import SECOND, Bucket
 from ternquay.hosted.service import ApiDocument, Service
 from ternquay.hosted.tenant import Unfit
+from ternquay.net.http import CallIn, CallLimits, CallPort, Channel
 
-HEADERS_MOST, LINES_MOST, QUERY_MOST = 8192, 64, 1024
+QUERY_MOST = 1024
 PATH_MOST = 512
 
 
-class CallIn(http.Request):
-    """One call as it comes in; the library reads it."""
+def call_of(call_in: CallIn) -> Call | Reply:
+    path, _, query = call_in.uri.decode("latin-1").partition("?")
+    if len(path) > PATH_MOST or len(query) > QUERY_MOST:
+        return problem(400, "the path is too long")
+    headers = {name.decode("latin-1").lower(): values[-1].decode("latin-1")
+               for name, values in call_in.requestHeaders.getAllRawHeaders()}
+    try:
+        told = dict(parse_qsl(query, max_num_fields=16, errors="strict"))
+    except ValueError:
+        return problem(400, "the query can't be read")
+    body = call_in.content.read() if call_in.content is not None else b""
+    peer = getattr(call_in.getClientAddress(), "host", "")
+    return Call(call_in.method.decode("latin-1"), path, told, headers, body, peer)
 
-    channel: Any
-    turned: Reply | None = None
 
-    def gotLength(self, length: int | None) -> None:
-        most = self.channel.port.api.body_bytes
-        if length is not None and length > most:
-            self.turned = problem(413, f"a body has up to {most} bytes")
-            self.channel.port.turn_away(self.channel, self.turned)
-            return
-        self.came = 0
-        super().gotLength(length)
+def written(reply: Reply) -> tuple[bytes, dict[str, str]]:
+    """Its body and headers."""
+    body = orjson.dumps(reply.body) if reply.body is not None else b""
+    return body, {"content-type": "application/json", "cache-control": "no-store", **reply.headers}
 
-    def handleContentChunk(self, data: bytes) -> None:
-        # One without a length, in chunks, is cut off where it passes the bound.
-        if self.turned is not None:
-            return
-        self.came += len(data)
-        most = self.channel.port.api.body_bytes
-        if self.came > most:
-            self.turned = problem(413, f"a body has up to {most} bytes")
-            self.channel.port.turn_away(self.channel, self.turned)
-            return
-        super().handleContentChunk(data)
 
-    def process(self) -> None:
-        if self.turned is not None:
-            return
-        self.channel.port.called(self)
-
-    def call(self) -> Call | Reply:
-        path, _, query = self.uri.decode("latin-1").partition("?")
-        if len(path) > PATH_MOST or len(query) > QUERY_MOST:
-            return problem(400, "the path is too long")
-        headers = {name.decode("latin-1").lower(): values[-1].decode("latin-1")
-                   for name, values in self.requestHeaders.getAllRawHeaders()}
-        try:
-            told = dict(parse_qsl(query, max_num_fields=16, errors="strict"))
-        except ValueError:
-            return problem(400, "the query can't be read")
-        body = self.content.read() if self.content is not None else b""
-        peer = getattr(self.getClientAddress(), "host", "")
-        return Call(self.method.decode("latin-1"), path, told, headers, body, peer)
-
-    def answer(self, reply: Reply) -> None:
-        if self._disconnected or self.finished:
-            return
-        body = orjson.dumps(reply.body) if reply.body is not None else b""
-        self.setResponseCode(reply.status)
-        self.setHeader(b"content-type", b"application/json")
-        self.setHeader(b"cache-control", b"no-store")
-        for name, value in reply.headers.items():
-            self.setHeader(name.encode(), value.encode())
-        self.setHeader(b"content-length", b"%d" % len(body))
-        if self.method != b"HEAD":
-            self.write(body)
-        self.finish()
-
-
-class Channel(http.HTTPChannel):
-    """One connection of a caller."""
-
-    requestFactory = CallIn
-    totalHeadersSize = HEADERS_MOST
-    maxHeaders = LINES_MOST
-
-    def __init__(self, port: "ApiPort") -> None:
-        super().__init__()
-        self.port = port
-        self.timeOut = max(1, port.api.idle_ms // 1000)
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.port.all.add(self)
-        if len(self.port.all) > self.port.api.connections:
-            self.port.turn_away(self, problem(503, "too many connections", headers={"retry-after": "1"}))
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self.port.all.discard(self)
-        super().connectionLost(reason)
-
-
-class ApiPort(http.HTTPFactory):
-    """The listener of the API."""
+def answer(call_in: CallIn, reply: Reply) -> None:
+    body, headers = written(reply)
+    call_in.reply(reply.status, body, headers)
+
 
-    noisy = False
-    reactor: Any
+def limits_of(api: ApiDocument) -> CallLimits:
+    return CallLimits(body=api.body_bytes, connections=api.connections, idle=max(1, api.idle_ms // 1000))
+
+
+class ApiPort(CallPort):
+    """The listener of the API."""
 
     def __init__(self, reactor: Any, service: Service, keeper: Keeper) -> None:
-        super().__init__(reactor=reactor)
         assert service.api is not None
-        self.service, self.keeper = service, keeper
+        super().__init__(limits_of(service.api))
+        self.reactor, self.service, self.keeper = reactor, service, keeper
         self.api: ApiDocument = service.api
-        self.all: set[Channel] = set()
         self.calls = Bucket(self.api.calls_a_second, float(self.api.burst))
         self.comers = Bucket(self.api.calls_a_second, float(self.api.burst))  # connections, at the same rate
         self.certificate: Any = None
@@ -134,16 +73,19 @@
             # This one still comes in; the next wait to be accepted.
             self.port.stopReading()
             self.reactor.callLater(wait / SECOND, self._open)
-        channel = Channel(self)
-        channel.factory = self
-        return channel
+        return super().buildProtocol(addr)
+
+    def came(self, channel: Channel) -> None:
+        super().came(channel)
+        if len(self.all) > self.call_limits.connections:
+            channel.turn_away(503, "too many connections")
 
     def _open(self) -> None:
         if self.port.connected and not self.port.disconnecting:
             self.port.startReading()
 
-    def log(self, request: Any) -> None:
-        """The library's line for each call; ours are the audit log's."""
+    def told(self, status: int, detail: str) -> tuple[bytes, Mapping[str, str]]:
+        return written(problem(status, detail, headers={"retry-after": "1"} if status == 503 else None))
 
     def begin(self) -> None:
         where = self.service.listen
@@ -164,7 +106,7 @@
         assert service.api is not None
         if self.certificate is not None and service.api.tls is not None:
             self.certificate.reload(service.api)
-        self.api = service.api
+        self.api, self.call_limits = service.api, limits_of(service.api)
         self.calls.change(int(self.reactor.seconds() * SECOND), self.api.calls_a_second, float(self.api.burst))
 
     def end(self) -> None:
@@ -178,22 +120,11 @@
             # Against calls that were written in advance: each of them would be read and answered in one go.
             channel = call_in.channel  # the library takes it away with the answer
             call_in.setHeader(b"connection", b"close")
-            call_in.answer(problem(429, "too many calls", headers={"retry-after": str(wait // SECOND + 1)}))
+            answer(call_in, problem(429, "too many calls", headers={"retry-after": str(wait // SECOND + 1)}))
             channel.loseConnection()
             return
-        call = call_in.call()
+        call = call_of(call_in)
         if isinstance(call, Reply):
-            return call_in.answer(call)
-        self.keeper.call(call).addCallback(call_in.answer).addErrback(
+            return answer(call_in, call)
+        self.keeper.call(call).addCallback(lambda reply: answer(call_in, reply)).addErrback(
             lambda failure: logger.error("an answer failed: {}", failure.getTraceback()))
-
-    def turn_away(self, channel: Any, reply: Reply) -> None:
-        """Before a call is whole: answered, and the connection closed."""
-        body = orjson.dumps(reply.body)
-        head = b"HTTP/1.1 %d %b\r\n" % (reply.status, http.RESPONSES.get(reply.status, b"Turned away"))
-        lines = {**reply.headers, "content-length": str(len(body)), "connection": "close"}
-        told = b"".join(b"%b: %b\r\n" % (name.encode(), value.encode()) for name, value in lines.items())
-        channel.transport.write(head + told + b"\r\n" + body)
-        channel.transport.loseConnection()
-
-
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -86,7 +86,7 @@
             if isinstance(item, meta.Command):
                 self.taken(item)
             elif isinstance(item, meta.Hello):
-                self.owed.append(meta.HELLO)
+                self.owed.append(self.front.hello)
             elif isinstance(item, meta.Over):
                 self.owed.append(meta.rolled_back(item.wait // MS))
             else:
@@ -193,6 +193,8 @@
         self.resting: dict[ClientConnection, None] = {}  # idle ones, the longest first
         self.asked: dict[ClientConnection, None] = {}  # those of them that had an answer
         self.leaving = self.held_up = False
+        self.spared = 0  # how long one that has said nothing yet is left while they leave
+        self.hello = meta.HELLO  # what an `mn` is answered with
         self.gate: Callable[[bool], None] = lambda accept: None
         sockets.shed_client = self.shed
 
@@ -237,7 +239,9 @@
                 if len(self.asked) > self.limits.resting:
                     # Against clients that ask once and keep the connection: the others would get none.
                     self._close_resting(next(iter(self.asked)))
-            if self.leaving or (client.answered and (client.crowded or self.held_up)):
+            # At a drain one that has just come is about to write: it is closed after its answer.
+            leaves = self.leaving and (client.answered or not self.spared)
+            if leaves or (client.answered and (client.crowded or self.held_up)):
                 self._close_resting(client)
 
     def shed(self) -> bool:
@@ -269,9 +273,21 @@
             client.abort()
         if self.held_up:
             self.shed()
+        if self.leaving:
+            self._close_still()
 
-    def leave(self) -> None:
-        """From now on connections are closed between transactions."""
-        self.leaving = True
-        for client in list(self.resting):
+    def leave(self, spared: int = 0) -> None:
+        """From now on connections are closed between transactions, new ones too."""
+        self.leaving, self.spared = True, spared
+        self._close_still()
+
+    def _close_still(self) -> None:
+        before = self.door.now() - self.spared
+        for client in [c for c in self.resting if c.answered or c.moved <= before]:
             self._close_resting(client)
+
+    def cut_off(self) -> None:
+        """Closes what owes nothing and does not move: half a command, for one."""
+        before = self.door.now() - self.limits.fresh
+        for client in [c for c in self.all if not c.owed and not c.queued and c.moved <= before]:
+            client.abort()
--- a/ternquay/net/launch.py
+++ b/ternquay/net/launch.py
@@ -25,6 +25,7 @@
     path: str  # the file, which may be read again
     name: str
     listen: Address
+    management: Address | None
     discovery: Address
     start: m.Started
     names: Names
@@ -81,9 +82,10 @@
     if sockets < LEAST_SOCKETS:
         raise LaunchError(f"limits.sockets: the process may have {sockets} descriptors, {LEAST_SOCKETS} are wanted")
     memory = whole_number(bounds.get("memory_mb"), "limits.memory_mb", 64)
+    told_at = told.get("management", env.get("EDGE_MANAGEMENT") or None)
     try:
         start, names, limits = read_start(read_seed(told.get("seed")), facts), Names(facts), fill(
-            facts, sockets, memory)
+            facts, sockets, memory, managed=told_at is not None)
     except KeyError as fault:
         raise LaunchError(f"settings: {fault.args[0]} is missing or not known") from fault
     except (TypeError, AttributeError, ValueError, OverflowError) as fault:
@@ -95,10 +97,12 @@
         raise LaunchError(f"known.{fault}") from fault
     try:
         listen = address(told.get("listen", env.get("EDGE_LISTEN")), "listen")
+        management = address(told_at, "management") if told_at is not None else None
         discovery = address(told.get("discovery", env.get("EDGE_DISCOVERY")), "discovery")
     except ToldWrong as fault:
         raise LaunchError(str(fault)) from fault
     return Launch(
-        path=path, name=str(told.get("name") or env.get("EDGE_NAME", "")), listen=listen, discovery=discovery,
+        path=path, name=str(told.get("name") or env.get("EDGE_NAME", "")), listen=listen, management=management,
+        discovery=discovery,
         start=start, names=names, known=known, limits=limits,
     )
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -18,6 +18,8 @@
     sockets: int
     clients: int
     spare: int  # for clients that come when all is full: they are told so and closed
+    operators: int  # callers at the management address, set aside; one that has sent no whole call goes after so long
+    half_call: int
     backlog: int
     accepts: int  # clients in one turn of the loop, as far as they fit
     # Bytes: of one line, of a value that a client writes or a cache host answers with, queued for one client;
@@ -53,24 +55,28 @@
     # A planned end: accepting for so long, serving on for so long on what is open, the last answer, with time
     # left for it to be written, and gone at the latest.
     lame: int
+    drained: int  # a drain: what then owes nothing and has not moved for `fresh` is cut off
     serve_on: int
     last: int
     leave: int
     flood: int  # of one kind of warning there is one in so long, with the count of those between
 
 
-def fill(facts: dict[str, Any], sockets: int, memory_mb: int) -> Limits:
+def fill(facts: dict[str, Any], sockets: int, memory_mb: int, managed: bool = False) -> Limits:
     allowed = facts["Limits"]
     # Standard streams, poll, wake-up, the listener, discovery and a spare of the library's come first.
     whole = min(1024, sockets)
-    left = whole - 14
+    operators = max(4, min(16, whole // 16))
+    # Two of the operators' callers may be accepted beyond their bound before the oldest goes; and their listener.
+    left = whole - 14 - (operators + 3 if managed else 0)
     spare = max(4, left // 8)
     longest = max(p["HardLimit"] for p in facts["Profiles"])
     lame, leave = SECOND // 2, min(longest * US, 3 * SECOND) + 600 * MS
     must_ask = span(facts["Invariants"], "MustAskIn", "Invariants", usual=0) or 10 * SECOND
     idle = span(allowed, "ConnIdle", "Limits", usual=0) or 5 * SECOND
     return Limits(
-        sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, backlog=1024, accepts=16,
+        sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, operators=operators,
+        half_call=2 * SECOND, backlog=1024, accepts=16,
         line=2048, value=65536, answer=MIB, queued=2 * MIB,
         # Four times, above what the program itself takes.
         held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
@@ -84,5 +90,6 @@
         stalled=5 * SECOND,
         watch=min(60 * SECOND, must_ask // 2), call=3 * SECOND // 2, breath=SECOND // 10,
         again=SECOND, list_bytes=8 * MIB,
-        lame=lame, serve_on=max(lame, leave - SECOND // 3), last=leave - 20 * MS, leave=leave, flood=SECOND,
+        lame=lame, drained=3 * SECOND, serve_on=max(lame, leave - SECOND // 3), last=leave - 20 * MS, leave=leave,
+        flood=SECOND,
     )
--- /dev/null
+++ b/ternquay/net/management.py
@@ -0,0 +1,93 @@
+"""The operators' address: is this process ready, take it out of service, take it in again.
+
+    GET  /control/ready            POST /control/out-of-service            POST /control/in-service
+
+The table of calls is pure; the port is a thin driver. Callers that send nothing, or half a call, hold up nobody: at the
+bound of connections the oldest that has sent no whole call is closed for the one that comes.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from twisted.internet.error import CannotListenError
+
+from ternquay.net.http import CallIn, CallLimits, CallPort, Channel
+from ternquay.net.launch import LaunchError
+from ternquay.net.limits import SECOND, Limits
+from ternquay.net.listing import Address
+
+PATH_MOST = 512
+PLAIN = {"content-type": "text/plain; charset=utf-8", "cache-control": "no-store"}
+
+
+class Managed(Protocol):
+    """The service as operators see it. Each tells why not, or nothing."""
+
+    def unready(self) -> str: ...
+
+    def out_of_service(self) -> str: ...
+
+    def in_service(self) -> str: ...
+
+
+def calls(service: Managed) -> dict[str, tuple[str, Callable[[], str], str, int]]:
+    """By path: the method, the step, what is said when it is done, and the status when it is not."""
+    return {
+        "/control/ready": ("GET", service.unready, "ready", 503),
+        "/control/out-of-service": ("POST", service.out_of_service, "out of service", 409),
+        "/control/in-service": ("POST", service.in_service, "in service", 409),
+    }
+
+
+def answered(service: Managed, method: str, target: str) -> tuple[int, str, dict[str, str]]:
+    """Status, line and headers for one call."""
+    path = target.partition("?")[0]
+    if len(target) > PATH_MOST:
+        return 414, "the path is too long", {}
+    known = calls(service).get(path)
+    if known is None:
+        return 404, "no such call", {}
+    wanted, step, done, otherwise = known
+    if method != wanted:
+        return 405, f"{wanted} is wanted", {"allow": wanted}
+    why = step()
+    return (otherwise, why, {}) if why else (200, done, {})
+
+
+class ManagementPort(CallPort):
+    def __init__(self, reactor: Any, service: Managed, limits: Limits) -> None:
+        # The two that may be accepted in one step beyond the bound are closed in the next.
+        super().__init__(CallLimits(body=1024, connections=limits.operators, idle=2, one_call=True))
+        self.reactor, self.service, self.half = reactor, service, limits.half_call
+        self.port: Any = None
+
+    def begin(self, where: Address) -> None:
+        """Raises LaunchError."""
+        try:
+            self.port = self.reactor.listenTCP(where.port, self, 64, where.host)
+        except CannotListenError as fault:
+            raise LaunchError(f"management: {where}: {fault.socketError}") from fault
+        self.port.room = lambda: 2
+
+    def came(self, channel: Channel) -> None:
+        super().came(channel)
+        # By its age and not its silence: a byte a second is no call either.
+        self.reactor.callLater(self.half / SECOND, self._overdue, channel)
+        if len(self.all) > self.call_limits.connections:
+            oldest = next(iter(self.all))
+            del self.all[oldest]
+            oldest.transport.abortConnection()
+
+    def _overdue(self, channel: Channel) -> None:
+        if self.all.pop(channel, self) is None:
+            channel.transport.abortConnection()
+
+    def called(self, call: CallIn) -> None:
+        status, line, headers = answered(self.service, call.method.decode("latin-1"), call.uri.decode("latin-1"))
+        call.reply(status, line.encode() + b"\n", {**PLAIN, **headers})
+
+    def told(self, status: int, detail: str) -> tuple[bytes, Mapping[str, str]]:
+        return detail.encode() + b"\n", PLAIN
+
+    def end(self) -> Any:
+        return self.port.stopListening()
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -98,6 +98,7 @@
 
 ABANDONED = b"SERVER_ERROR failed\r\n"
 HELLO = b"MN\r\n"
+OUT_OF_SERVICE = b"SERVER_ERROR out of service\r\n"
 
 
 def length_of(word: bytes) -> int:
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -16,12 +16,14 @@
 from zope.interface import implementer
 
 from ternquay.balance import Balancer
+from ternquay.net import meta
 from ternquay.net.discovery import Discovery
-from ternquay.net.door import Door
+from ternquay.net.door import Door, unschedule
 from ternquay.net.front import Front
 from ternquay.net.launch import Launch, LaunchError, read_launch
 from ternquay.net.limits import SECOND
 from ternquay.net.listing import Address
+from ternquay.net.management import ManagementPort
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import MarkedPoll, Turn
@@ -76,7 +78,9 @@
         self.front = Front(reactor, self.door, self.limits, sockets, self.turn)
         self.discovery = self._discovery(launch.discovery)
         self.port: Any = None
-        self.ending = False
+        self.management = ManagementPort(reactor, self, self.limits) if launch.management is not None else None
+        self.ending = self.drained = False
+        self.leaves: list[Any] = []  # the steps of a drain that are still to come
 
     def _discovery(self, where: Address) -> Discovery:
         discovery = Discovery(self.reactor, self.door, self.limits, where, self.offset)
@@ -96,6 +100,8 @@
         self.front.gate = lambda accept: self.port.startReading() if accept else self.port.stopReading()
         self.pool.sweep()
         self.front.sweep()
+        if self.management is not None and self.launch.management is not None:
+            self.management.begin(self.launch.management)
         logger.info("{} serves on {}", self.launch.name, where)
 
     def reload(self) -> None:
@@ -108,7 +114,7 @@
             return
         # All else is built into what is open now. The seed and the list known are for starts alone.
         new = replace(new, start=replace(new.start, seed=old.start.seed))
-        for field in ("name", "listen", "limits", "start"):
+        for field in ("name", "listen", "management", "limits", "start"):
             if getattr(new, field) != getattr(old, field):
                 logger.warning("the configuration has another {}, which waits for the next start", field)
         logger.info("read the configuration again, discovery: {}", new.discovery)
@@ -118,6 +124,40 @@
             self.discovery = self._discovery(new.discovery)
             self.discovery.watch()
 
+    # ---- what operators call ----
+
+    def unready(self) -> str:
+        """Why this process does not serve, or nothing."""
+        if self.ending:
+            return "ending"
+        if self.drained:
+            return "out of service"
+        return "" if self.port is not None and self.door.hosts else "no cache host is known"
+
+    def out_of_service(self) -> str:
+        """Drains: an `mn` is told at once, clients are served for a moment, then each is closed after its answer."""
+        if not self.drained:
+            self.drained, self.front.hello = True, meta.OUT_OF_SERVICE
+            self.leaves = [self.reactor.callLater(at / SECOND, step) for at, step in (
+                (self.limits.lame, lambda: self.front.leave(self.limits.fresh)),
+                (self.limits.drained, self.front.cut_off))]
+            logger.info("out of service, {} transactions open", len(self.door.txs))
+        return ""
+
+    def in_service(self) -> str:
+        if self.ending:
+            return "ending"
+        if self.drained:
+            self._undrained()
+            self.front.leaving, self.front.hello = False, meta.HELLO
+            logger.info("in service")
+        return ""
+
+    def _undrained(self) -> None:
+        self.drained = False
+        for call in self.leaves:
+            unschedule(call)
+
     def signals(self) -> "dict[signal.Signals, Callable[[], None]]":
         return {signal.SIGTERM: self.end, signal.SIGINT: self.end, signal.SIGHUP: self.reload}
 
@@ -129,6 +169,7 @@
         if self.ending:
             return
         self.ending = True
+        self._undrained()
         logger.info("told to end, {} transactions open", len(self.door.txs))
         self.door.ends_at = self.door.now() + self.limits.last
         self.reactor.callLater(self.limits.lame / SECOND, self._close_door)
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,210 @@
+"""The operators' address: its calls, its bounds under callers that say nothing, a drain and the way back."""
+
+import socket
+import time
+from contextlib import closing, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ternquay.net import meta
+from ternquay.net.launch import LaunchError, read_launch
+from ternquay.net.management import answered
+from tests.helper import Net, member
+from tests.test_net import mg, va
+from tests.test_review_links import free, serving, told, until
+
+READY, OUT, BACK = "GET /control/ready", "POST /control/out-of-service", "POST /control/in-service"
+
+
+class Steps:
+    def __init__(self, why: str = "") -> None:
+        self.why, self.done = why, [""]
+
+    def unready(self) -> str:
+        return self.why
+
+    def out_of_service(self) -> str:
+        self.done.append("out")
+        return ""
+
+    def in_service(self) -> str:
+        self.done.append("in")
+        return self.why
+
+
+@pytest.mark.parametrize(("call", "why", "status", "step"), [
+    (READY, "", 200, ""), (READY, "ending", 503, ""), (READY + "?x=1", "", 200, ""),
+    (OUT, "", 200, "out"), (BACK, "", 200, "in"), (BACK, "ending", 409, "in"),
+    ("POST /control/ready", "", 405, ""), ("GET /control/out-of-service", "", 405, ""),
+    ("GET /", "", 404, ""), ("GET /control/ready/", "", 404, ""), ("GET " + "/" * 600, "", 414, "")])
+def test_each_call_has_one_answer(call: str, why: str, status: int, step: str) -> None:
+    steps = Steps(why)
+    assert answered(steps, *call.split(" "))[0] == status and steps.done[-1] == step
+
+
+def talk(port: int, text: bytes) -> bytes:
+    """All that comes back until the connection ends, b"" for nothing."""
+    with closing(socket.create_connection(("127.0.0.1", port), timeout=10)) as caller:
+        caller.sendall(text)
+        found = b""
+        with suppress(ConnectionResetError):
+            while data := caller.recv(4096):
+                found += data
+        return found
+
+
+def call(port: int, text: str) -> int:
+    """The status of one call."""
+    return int(talk(port, f"{text} HTTP/1.1\r\nHost: x\r\n\r\n".encode()).split(b" ")[1])
+
+
+def says(port: int) -> bytes:
+    with closing(socket.create_connection(("127.0.0.1", port), timeout=10)) as client:
+        client.sendall(b"mn\r\n")
+        return client.recv(100)
+
+
+def test_what_is_no_call_gets_an_answer_and_a_close(tmp_path: Path) -> None:
+    at = free()
+    with serving(told(free(), free(), management=f"127.0.0.1:{at}"), tmp_path) as process:
+        for text, status in ((b"nonsense\r\n\r\n", b"400"), (b"GET /" + b"x" * 9000, b"431"),
+                             (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 80 + b"\r\n", b"400"),
+                             (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", b"400"),
+                             (b"POST /control/in-service HTTP/1.1\r\ncontent-length: 99999\r\n\r\n", b"413"),
+                             (b"POST /control/in-service HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+                              + b"400\r\n" + b"x" * 1024 + b"\r\n" + b"400\r\nxxx", b"413")):
+            assert talk(at, text).startswith(b"HTTP/1.1 " + status), text[:60]
+        # A second call behind the first is not read.
+        assert talk(at, b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2).count(b"HTTP/1.1") == 1
+        assert call(at, READY) == 200 and process.poll() is None
+        assert "Traceback" not in (tmp_path / "log").read_text()
+
+
+def test_callers_that_say_nothing_and_a_flood_of_clients_hold_up_no_call(tmp_path: Path) -> None:
+    at, listen = free(), free()
+    with serving(told(listen, free(), management=f"127.0.0.1:{at}"), tmp_path) as process:
+        silent = [socket.create_connection(("127.0.0.1", at), timeout=10) for _ in range(30)]
+        for one in silent[::2]:
+            one.sendall(b"GET /control/re")
+        crowd = [socket.create_connection(("127.0.0.1", listen), timeout=10) for _ in range(150)]
+        for _ in range(5):
+            assert call(at, READY) == 200
+        # The half calls end by themselves, and the descriptors stay under what was told.
+        for one in silent:
+            one.settimeout(10)
+            with suppress(ConnectionResetError):
+                while one.recv(100):
+                    pass
+            one.close()
+        assert len(list(Path(f"/proc/{process.pid}/fd").iterdir())) <= 128
+        for one in crowd:
+            one.close()
+        assert call(at, READY) == 200
+
+
+def test_a_drain_says_no_at_once_closes_what_rests_and_goes_back(tmp_path: Path) -> None:
+    at, listen = free(), free()
+    with serving(told(listen, free(), management=f"127.0.0.1:{at}"), tmp_path) as process:
+        resting = socket.create_connection(("127.0.0.1", listen), timeout=10)
+        resting.sendall(b"mn\r\n")
+        assert resting.recv(100) == meta.HELLO
+        half = socket.create_connection(("127.0.0.1", listen), timeout=10)
+        half.sendall(b"mg k")
+        assert call(at, OUT) == call(at, OUT) == 200 and call(at, READY) == 503
+        assert says(listen) == meta.OUT_OF_SERVICE
+        assert resting.recv(100) == b""
+        time.sleep(0.1)
+        assert says(listen) == meta.OUT_OF_SERVICE  # it goes on saying no
+        with suppress(ConnectionResetError):
+            assert half.recv(100) == b""
+        assert process.poll() is None
+        assert call(at, BACK) == call(at, BACK) == 200 and call(at, READY) == 200 and says(listen) == meta.HELLO
+        # Out, in and out again: the steps of the first drain are not those of the last.
+        for text in (OUT, BACK, OUT, BACK):
+            assert call(at, text) == 200
+        stays = socket.create_connection(("127.0.0.1", listen), timeout=10)
+        stays.sendall(b"mn\r\n")
+        assert stays.recv(100) == meta.HELLO
+        time.sleep(3.5)
+        stays.sendall(b"mn\r\n")
+        assert stays.recv(100) == meta.HELLO
+        # The end during a drain.
+        assert call(at, OUT) == 200
+        process.terminate()
+        until(lambda: b"told to end" in (tmp_path / "log").read_bytes())
+        assert call(at, READY) == 503 and call(at, BACK) == 409
+        assert process.wait(10) == 0
+
+
+def test_what_is_open_at_a_drain_is_finished_and_what_comes_late_is_served_and_closed() -> None:
+    net = Net()
+    busy, idle, written = net.client(), net.client(), net.client()
+    busy.feed(mg(1) + mg(2))
+    idle.feed(b"mn\r\n")
+    written.feed(b"mn\r\n")
+    first, second = net.accept(), net.accept()
+    written.unread = b"m"  # it has written, and that was not read yet
+    net.front.hello = meta.OUT_OF_SERVICE
+    net.front.leave(net.limits.fresh)
+    net.take()
+    assert idle.lost and not busy.lost and not written.lost
+    written.unread = None
+    written.feed(b"mn\r\n")
+    assert written.lost
+    first.feed(va(1))
+    assert not busy.lost
+    second.feed(va(2))
+    assert busy.lost
+    late, silent = net.client(), net.client()
+    net.run(300)
+    assert not late.lost  # it has just come and is about to write
+    late.feed(mg(3))
+    [w for w in net.wires if w.name.startswith("host") and not w.lost][-1].feed(va(3))
+    assert late.lost
+    net.run(1000)
+    assert silent.lost and not net.front.all
+    net.matches("net_out_of_service")
+
+
+def test_at_the_end_of_a_drain_half_a_command_is_cut_off_and_an_open_one_is_not() -> None:
+    net = Net(limits={"fresh": 100_000_000})
+    half, busy = net.client(), net.client()
+    half.feed(b"mg k v")
+    busy.feed(mg(1))
+    net.accept()
+    net.run(150)
+    moving = net.client()
+    net.front.leave(net.limits.fresh)
+    net.run(80)
+    moving.feed(b"mg k")
+    net.front.cut_off()
+    assert half.lost and not busy.lost and not moving.lost
+
+
+def test_the_address_comes_from_the_file_or_else_the_environment(tmp_path: Path) -> None:
+    import json
+    path = tmp_path / "x.json"
+
+    def launched(env: dict[str, str], **more: Any) -> Any:
+        path.write_text(json.dumps(told(1, 2) | more))
+        return read_launch(str(path), env)
+
+    assert launched({}).management is None
+    assert str(launched({"EDGE_MANAGEMENT": "127.0.0.1:9"}).management) == "127.0.0.1:9"
+    both = launched({"EDGE_MANAGEMENT": "127.0.0.1:9"}, management="127.0.0.1:8")
+    assert str(both.management) == "127.0.0.1:8"
+    # What is set aside for operators is not the clients' nor the cache hosts'.
+    assert both.limits.sockets + both.limits.spare + both.limits.operators + 3 + 14 == 128
+    with pytest.raises(LaunchError, match="^management: an address and a port are wanted"):
+        launched({}, management="here:80")
+
+
+def test_no_cache_host_is_known_is_not_ready(tmp_path: Path) -> None:
+    at = free()
+    empty = {"revision": 1, "complete": True, "members": []}
+    with serving(told(free(), free(), management=f"127.0.0.1:{at}", known=empty), tmp_path):
+        assert call(at, READY) == 503
+    with serving(told(free(), free(), management=f"127.0.0.1:{at}", known=empty | {"members": [member(1)]}), tmp_path):
+        assert call(at, READY) == 200
