A listening socket that the platform holds is adopted; TLS is not loaded in serve

Ruled out: the address itself (the first start has it and serves). Lines: Service.begin bound it in any case.

--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -1,5 +1,6 @@
 """The command line."""
 
+import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -27,6 +28,8 @@
 @app.command()
 def serve(config: File = "") -> None:
     """Serve until SIGTERM."""
+    # Against 5 MB that the library takes for TLS where it is installed: no address of this process has any.
+    sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
     from ternquay.net.serve import run  # the reactor is chosen as it starts
 
     with told_in_a_line():
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -20,6 +20,7 @@
 from ternquay.net.discovery import Discovery
 from ternquay.net.door import Door, unschedule
 from ternquay.net.front import Front
+from ternquay.net.inherited import adopt, inherited
 from ternquay.net.launch import Launch, LaunchError, read_launch
 from ternquay.net.limits import SECOND
 from ternquay.net.listing import Address
@@ -92,8 +93,10 @@
         if not self.launch.start.watch_list:
             self.discovery.watch()
         where = self.launch.listen
+        held = inherited(where)
         try:
-            self.port = self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host)
+            self.port = (self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host) if held is None
+                         else adopt(self.reactor, Listener, held, self.front))
         except CannotListenError as fault:
             raise LaunchError(f"listen: {where}: {fault.socketError}") from fault
         self.port.room, self.port.accepted = self.front.room, self.turn.accepted
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,125 @@
+"""A process beside another: the listening socket that the platform holds, and what the two do to each other."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import closing, contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ternquay.net.inherited import inherited
+from ternquay.net.launch import LaunchError
+from ternquay.net.listing import Address
+from tests.hosted_helper import ROOT
+from tests.test_management import READY, call, says
+from tests.test_review_links import free, told, until
+
+
+class Platform:
+    """Holds the clients' listening socket and a common folder, and starts processes beside each other."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.started = folder, 0
+        self.common = folder / "common"
+        self.common.mkdir()
+        self.held = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.held.set_inheritable(True)
+        self.listen = self.held.getsockname()[1]
+        self.processes: list[subprocess.Popen[bytes]] = []
+
+    def start(self, **more: Any) -> "Process":
+        self.started += 1
+        return Process(self, self.started, **more)
+
+    def end(self) -> None:
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.held.close()
+
+
+class Process:
+    def __init__(self, platform: Platform, number: int, **more: Any) -> None:
+        self.at, self.log = free(), platform.folder / f"log{number}"
+        path = platform.folder / f"told{number}.json"
+        path.write_text(json.dumps(told(platform.listen, free(), management=f"127.0.0.1:{self.at}") | more))
+        env = os.environ | {"EDGE_SOCKET_FD": str(platform.held.fileno()), "TMPDIR": str(platform.common)}
+        with open(self.log, "wb") as log:
+            command = [sys.executable, "-m", "ternquay", "serve", "--config", str(path)]
+            self.process = subprocess.Popen(command, cwd=ROOT, stderr=log, env=env, pass_fds=(platform.held.fileno(),))
+        platform.processes.append(self.process)
+
+    def ready(self) -> bool:
+        try:
+            return call(self.at, READY) == 200
+        except (OSError, IndexError):
+            return False
+
+    def text(self) -> str:
+        return self.log.read_text()
+
+
+@contextmanager
+def platform(folder: Path) -> Iterator[Platform]:
+    one = Platform(folder)
+    try:
+        yield one
+    finally:
+        one.end()
+
+
+def test_a_second_process_takes_over_and_no_connection_is_refused(tmp_path: Path) -> None:
+    with platform(tmp_path) as held:
+        old = held.start()
+        until(old.ready)
+        new = held.start()
+        until(new.ready)
+        assert says(held.listen) == b"MN\r\n"
+        old.process.terminate()
+        # Whoever comes while the old one goes is taken by the new one, or by the old one and served.
+        while old.process.poll() is None:
+            assert says(held.listen) == b"MN\r\n"
+        assert old.process.wait() == 0 and new.process.poll() is None
+        for _ in range(20):
+            assert says(held.listen) == b"MN\r\n"
+        # Two of them beside each other: what neither needs is not loaded, though it is installed here.
+        assert "cryptography" not in Path(f"/proc/{new.process.pid}/maps").read_text()
+        new.process.terminate()
+        assert new.process.wait(10) == 0
+        # What none of them accepted waits in the platform's socket: no process has shut it down.
+        with closing(socket.create_connection(("127.0.0.1", held.listen), timeout=5)) as waits:
+            waits.sendall(b"mn\r\n")
+            third = held.start()
+            until(third.ready)
+            assert waits.recv(10) == b"MN\r\n"
+
+
+def test_a_descriptor_that_is_no_listening_socket_at_the_address_is_named(tmp_path: Path) -> None:
+    where = Address("127.0.0.1", 9)
+    assert inherited(where, {}) is None and inherited(where, {"EDGE_SOCKET_FD": ""}) is None
+    with open(tmp_path / "x", "w") as file, socket.socket() as plain, \
+            socket.create_server(("127.0.0.1", 0)) as listens, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+        for number, why in (("five", "a descriptor is wanted"), ("-1", "a descriptor is wanted"),
+                            ("9999", "can't be used"),
+                            (str(file.fileno()), "is no socket"), (str(plain.fileno()), "no listening TCP socket"),
+                            (str(datagrams.fileno()), "no listening TCP socket"),
+                            (str(listens.fileno()), "and listen says 127.0.0.1:9")):
+            with pytest.raises(LaunchError, match=f"^EDGE_SOCKET_FD: .*{why}"):
+                inherited(where, {"EDGE_SOCKET_FD": number})
+        right = Address("127.0.0.1", listens.getsockname()[1])
+        # What could not be used was not closed either.
+        found = inherited(right, {"EDGE_SOCKET_FD": str(listens.fileno())})
+        assert found is not None and found.detach() == listens.fileno()
+
+
+def test_a_wrong_descriptor_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    path = tmp_path / "told.json"
+    path.write_text(json.dumps(told(free(), free())))
+    done = subprocess.run([sys.executable, "-m", "ternquay", "serve", "--config", str(path)], cwd=ROOT, timeout=30,
+                          capture_output=True, text=True, env=os.environ | {"EDGE_SOCKET_FD": "77"})
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "EDGE_SOCKET_FD" in done.stderr
