The process starts under 36 MB: run without the command line, the least memory lowered

Cause: launch.read_launch's bound, and fill() counting 40 MB for the program, of which 4.4 were typer and 5 TLS. Ruled out: descriptors (192). Change: python -m ternquay.net as run, 30.7 -> 24.7 MB at rest; the least is 36 MB; PROGRAM = 30 MB in limits.py. Tried: -OO, another 1.1 MB, not taken.

--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -1,6 +1,5 @@
 """The command line."""
 
-import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -9,6 +8,7 @@
 import typer
 
 from ternquay import VERSION
+from ternquay.net.__main__ import serve as serve_alone
 from ternquay.net.launch import LaunchError, read_launch
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="A balancer before cache hosts.")
@@ -28,12 +28,10 @@
 @app.command()
 def serve(config: File = "") -> None:
     """Serve until SIGTERM."""
-    # Against 5 MB that the library takes for TLS where it is installed: no address of this process has any.
-    sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
-    from ternquay.net.serve import run  # the reactor is chosen as it starts
-
-    with told_in_a_line():
-        run(read_launch(config))
+    why = serve_alone(config)
+    if why:
+        typer.echo(f"ternquay: {why}", err=True)
+        raise typer.Exit(2)
 
 
 @contextmanager
--- a/ternquay/net/launch.py
+++ b/ternquay/net/launch.py
@@ -14,6 +14,7 @@
 from ternquay.net.listing import Address, ToldWrong, address, read_list
 
 LEAST_SOCKETS = 48
+LEAST_MEMORY = 36  # in MB: what the program takes, and a little of everything
 
 
 class LaunchError(ToldWrong):
@@ -81,7 +82,7 @@
     sockets = min(whole_number(bounds.get("sockets"), "limits.sockets", LEAST_SOCKETS), descriptors())
     if sockets < LEAST_SOCKETS:
         raise LaunchError(f"limits.sockets: the process may have {sockets} descriptors, {LEAST_SOCKETS} are wanted")
-    memory = whole_number(bounds.get("memory_mb"), "limits.memory_mb", 64)
+    memory = whole_number(bounds.get("memory_mb"), "limits.memory_mb", LEAST_MEMORY)
     told_at = told.get("management", env.get("EDGE_MANAGEMENT") or None)
     try:
         start, names, limits = read_start(read_seed(told.get("seed")), facts), Names(facts), fill(
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -8,6 +8,7 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 MIB = 1 << 20
+PROGRAM = 30  # MB that the program takes with its decisions, all connections at rest
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,7 +80,7 @@
         half_call=2 * SECOND, backlog=1024, accepts=16,
         line=2048, value=65536, answer=MIB, queued=2 * MIB,
         # Four times, above what the program itself takes.
-        held=max(4, min(256, (memory_mb - 40) // 5)) * MIB,
+        held=max(1, min(256, (memory_mb - PROGRAM) // 5)) * MIB,
         pipelined=256, open_txs=int(number(allowed, "MostHeld", "Limits", 0, MOST, 0)) or 20000,
         per_connection=max(1, int(number(allowed, "StreamsPerConn", "Limits", 0, MOST, 1))),
         turn=min(p["ServiceGoal"] for p in facts["Profiles"]) * US // 10,
