Who never sends a whole command goes by age when room is short

Ruled out: hosts (97 connections at once), memory (26 of 40 MB), CPU (0.47 of a core). Change: Front.unproven, in order of arrival; those over 2.5 s go when over half of the places are taken, the oldest where one is wanted. Front.drop is the hosted front's, now in one place.

--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/front.py
@@ -214,12 +214,6 @@
         self.drop(victim)
         return True
 
-    def drop(self, client: ClientConnection) -> None:
-        """Closes it now, and counts it no longer."""
-        client.abort()
-        self.left(client)
-        client.queued = client.kept = 0
-
     def left(self, client: ClientConnection) -> None:
         if client in self.all and isinstance(client, TenantClient):
             mine = self.by_address.get(client.address, {})
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -58,6 +58,7 @@
         self.queued = 0  # bytes that the system has not taken yet
         self.kept = 0  # bytes of a command that is not whole
         self.moved = 0  # when bytes last went either way
+        self.made = 0  # when it came
         self.since = 0  # since when its first bytes may have waited, until they are read
 
     def connectionMade(self) -> None:
@@ -82,6 +83,8 @@
     def read(self, items: "list[meta.Item]") -> None:
         """Takes what was read, and writes what is answered by then."""
         self.reading = True
+        if items or not self.machine.unproven():
+            self.front.unproven.pop(self, None)
         for item in items:
             if isinstance(item, meta.Command):
                 self.taken(item)
@@ -192,6 +195,7 @@
         self.queued = self.kept = 0  # bytes of all clients
         self.resting: dict[ClientConnection, None] = {}  # idle ones, the longest first
         self.asked: dict[ClientConnection, None] = {}  # those of them that had an answer
+        self.unproven: dict[ClientConnection, None] = {}  # no whole command line has come yet; the oldest first
         self.leaving = self.held_up = False
         self.spared = 0  # how long one that has said nothing yet is left while they leave
         self.hello = meta.HELLO  # what an `mn` is answered with
@@ -205,6 +209,8 @@
         self.all.add(client)
         client.crowded = not self.sockets.client_came()
         client.moved, client.since = self.door.now(), self.turn.waits_since()
+        client.made = client.moved
+        self.unproven[client] = None
         self.idle(client)
         if self.sockets.full():
             # Against closing one that has just written its transaction: the next ones wait to be accepted.
@@ -219,6 +225,7 @@
         if client not in self.all:
             return
         self.all.discard(client)
+        self.unproven.pop(client, None)
         self.busy(client)
         self.sockets.client_left()
         self.queued -= client.queued
@@ -250,7 +257,19 @@
         for client in self.resting:
             if client.answered or now - client.moved > self.limits.fresh:
                 return self._close_resting(client)
-        return False
+        return self._close_unproven(1) > 0
+
+    def _close_unproven(self, most: int) -> int:
+        """Closes the oldest that have sent nothing whole for longer than a true one takes; how many."""
+        before = self.door.now() - self.limits.proof
+        old: list[ClientConnection] = []
+        for client in self.unproven:
+            if client.made > before or len(old) >= most:
+                break
+            old.append(client)
+        for client in old:
+            self.drop(client)
+        return len(old)
 
     def _close_resting(self, client: ClientConnection) -> bool:
         if not client.shut():
@@ -259,6 +278,12 @@
         self.left(client)
         return True
 
+    def drop(self, client: ClientConnection) -> None:
+        """Closes it now, and counts it no longer."""
+        client.abort()
+        self.left(client)
+        client.queued = client.kept = 0
+
     def shed_kept(self, client: ClientConnection) -> None:
         """More is kept of half-read commands than there is room for."""
         client.abort()
@@ -273,6 +298,8 @@
             client.abort()
         if self.held_up:
             self.shed()
+        if 2 * self.sockets.clients > self.limits.clients:
+            self._close_unproven(len(self.unproven))
         if self.leaving:
             self._close_still()
 
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -38,6 +38,7 @@
     come_again: int  # what is turned away for want of room is told to wait so long
     # A new client that has sent nothing is not closed for another before so long.
     fresh: int
+    proof: int  # one that has sent no whole command line by then is closed when room is short
     resting: int  # connections that had an answer and stand idle; the one idle longest is closed beyond that
     # Connections to cache hosts.
     dial: int
@@ -84,7 +85,7 @@
         pipelined=256, open_txs=int(number(allowed, "MostHeld", "Limits", 0, MOST, 0)) or 20000,
         per_connection=max(1, int(number(allowed, "StreamsPerConn", "Limits", 0, MOST, 1))),
         turn=min(p["ServiceGoal"] for p in facts["Profiles"]) * US // 10,
-        fresh=SECOND, resting=whole // 6,
+        fresh=SECOND, proof=5 * SECOND // 2, resting=whole // 6,
         come_again=span(allowed, "MaxRetryAfter", "Limits", usual=0) // 4 if allowed.get("RetryAfter") else 0,
         dial=span(allowed, "DialTimeout", "Limits", usual=0) or 250 * MS, idle=idle * 3 // 5, sweep=SECOND // 4,
         wear=5 * SECOND, wear_least=8,
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -185,6 +185,10 @@
             del self.buffer[:at]
         return found
 
+    def unproven(self) -> bool:
+        """No command line of a write is known whose value is still to come."""
+        return self.wanted is None
+
     def quiet(self) -> bool:
         """Nothing of a command has come."""
         return not self.buffer and self.wanted is None
