--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,283 @@
+"""Two processes of one balancer: notes, slots, the split of limits, and an end at every step."""
+
+import fcntl
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from contextlib import closing, suppress
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from ternquay import model as m
+from ternquay.balance import SECOND, Balancer
+from ternquay.handover.beside import NAMES, Slots
+from ternquay.handover.notes import Ceilings, Note, NoteUnfit, learned_read, learned_text, read, written
+from ternquay.net.listing import Address, Member
+from tests.helper import START, T0, Net, line, member
+from tests.test_flow import Store
+from tests.test_management import OUT, READY, call, says
+from tests.test_net import mg, va
+from tests.test_review_links import until
+from tests.test_upgrade import platform
+
+LISTED = Member("h1", Address("127.0.0.1", 9), "a", "k", 2, m.Standing.DRAINING, 1.5, 77)
+NOTE = Note(5, 100, True, "127.0.0.1:8500", 41, (LISTED,), {"usual": 1.5, "hosts": {}})
+
+
+def test_a_note_is_read_as_it_was_written_or_not_at_all() -> None:
+    data = written(NOTE)
+    assert read(data) == NOTE
+    for cut in range(len(data)):
+        with pytest.raises(NoteUnfit):
+            read(data[:cut])
+    random = Random(3)
+    for _ in range(300):
+        spoilt = bytearray(data)
+        spoilt[random.randrange(len(data))] ^= 1 << random.randrange(8)
+        with pytest.raises(NoteUnfit):
+            read(bytes(spoilt))
+    with pytest.raises(NoteUnfit, match="version"):
+        read(data.replace(b"handover 1", b"handover 2"))
+    with pytest.raises(NoteUnfit, match="torn"):
+        read(data + b"x")
+    with pytest.raises(NoteUnfit, match="no note"):
+        read(b"#!/bin/sh\n")
+    with pytest.raises(NoteUnfit, match="more than"):
+        written(replace(NOTE, learned={"x": "y" * (1 << 20)}))
+
+
+def test_what_lies_in_the_folder_never_ends_a_start(tmp_path: Path) -> None:
+    first, second, third = Slots(tmp_path), Slots(tmp_path), Slots(tmp_path)
+    assert first.take() and not first.other()
+    assert second.take() and first.other() and second.other() and not third.take()
+    assert second.read(0) is None
+    first.write(NOTE)
+    assert second.read(5) == NOTE and second.read(6) is None  # not one from before
+    (tmp_path / f"{NAMES[0]}.note").write_bytes(written(NOTE)[:-3])
+    assert second.read(0) is None
+    (tmp_path / f"{NAMES[0]}.note").unlink()
+    (tmp_path / f"{NAMES[0]}.note").mkdir()
+    assert second.read(0) is None
+    first.write(NOTE)  # can't be renamed onto a folder: passed over, and nothing is left beside
+    assert not list(tmp_path.glob("*.new"))
+    (tmp_path / f"{NAMES[0]}.note").rmdir()
+    first.write(NOTE)
+    first.end()
+    assert not second.other() and third.take() and second.other()
+    assert second.read(0) is None  # the note of who had that slot before is gone
+
+
+def test_a_lock_ends_with_its_process_whatever_ends_it(tmp_path: Path) -> None:
+    code = ("import sys; sys.path.insert(0, '.'); from pathlib import Path; import time\n"
+            "from ternquay.handover.beside import Slots\n"
+            f"assert Slots(Path({str(tmp_path)!r})).take(); print('here', flush=True); time.sleep(60)")
+    with subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE) as other:
+        assert other.stdout is not None and other.stdout.readline() == b"here\n"
+        mine = Slots(tmp_path)
+        assert mine.take() and mine.mine == 1 and mine.other()
+        other.send_signal(signal.SIGKILL)
+        other.wait()
+        assert not mine.other()
+
+
+def test_the_two_ceilings_never_add_up_to_more_than_the_whole() -> None:
+    """Each acts on what it read of the other at its last look, in any order of looks."""
+    random = Random(7)
+    for _ in range(300):
+        split = Ceilings(random.randrange(60, 900), 24)
+        first, second, told = split.alone(), split.second(None), None
+        used, ending = random.randrange(split.alone()), False
+        for _ in range(40):
+            if random.random() < 0.5:
+                first = split.first(first, used, ending)
+                told = first  # only then is it told
+            elif random.random() < 0.7:
+                second = split.second(told)
+            used = min(first, max(0, used + random.randrange(-30, 10)))
+            ending = ending or random.random() < 0.05
+            assert first + second <= split.whole
+
+
+def test_what_was_learned_goes_over_by_names_and_half_of_what_is_borne_together() -> None:
+    net = Net(hosts=2)
+    client = net.client()
+    for number in range(30):
+        client.feed(mg(number, key=f"k{number}"))
+        host = net.accept() if net.reactor.tcpClients else [
+            w for w in net.wires if w.name.startswith("host") and w.protocol.hops][-1]
+        net.run(20)
+        host.feed(va(number))
+    old = net.door.balancer
+    names = {index: name for name, index in net.door.hosts.items()}
+    told = learned_text(old.learned(), names)
+    learned = learned_read(told | {"hosts": told["hosts"] | {"unheard": told["hosts"]["h1"]}}, {"h1": 7, "h2": 3})
+    assert learned is not None and {h.host for h in learned.hosts} == {7, 3}
+    new = Balancer(replace(START, balancers=2))
+    new.decide(T0, m.ListChanged(True, (line(7), line(3))))
+    new.decide(T0, learned)
+    assert new.usual == old.usual > 0 and new.unit_rate == old.unit_rate / 2 and new.hits == old.hits > 0.5
+    assert new.origin_limit == max(new.origin_least, old.origin_limit / 2)
+    assert {h.took for h in new.hosts.values()} == {h.took for h in old.hosts.values()}
+    assert learned_read({"hosts": 3}, {}) is None and learned_read(told | {"more": 1}, {}) is None
+
+
+def test_a_host_that_is_out_stays_out_for_what_was_left_of_it() -> None:
+    new = Balancer(START)
+    new.decide(T0, m.ListChanged(True, (line(1), line(2))))
+    out = m.LearnedHost(1, 5e6, 0.0, 0, SECOND, SECOND // 2, True)
+    new.decide(T0, m.Learned(4e6, 3e6, 10.0, 2.0, 0.5, 20.0, 9e6, (out,)))
+    new.decide(T0, m.TxArrived(1, 0, -1, "a", SECOND, False, False))
+    assert not new._usable(new.hosts[1]) and new._usable(new.hosts[2])
+
+
+def test_a_cold_host_takes_half_from_each_while_there_are_two() -> None:
+    net = Net(hosts=1)
+    net.list(member(2, since=1_000_000))
+    net.door.beside(0.5)
+    assert [h.part for h in net.door.balancer.hosts.values()] == [0.5, 0.5]
+    net.list(member(3, since=1_000_000))
+    net.list(member(1, "removed"))
+    net.door.beside(1.0)
+    assert [h.part for h in net.door.balancer.hosts.values()] == [1.0, 1.0] and set(net.door.members) == {"h2", "h3"}
+
+
+def test_the_second_takes_the_list_of_the_first_and_a_third_waits(tmp_path: Path) -> None:
+    with platform(tmp_path) as held:
+        first = held.start(known={"revision": 9, "complete": True, "members": [member(1), member(2, "draining")]})
+        until(first.ready)
+        # An older list, without one host at all: what the first knows goes before it.
+        second = held.start(known={"revision": 3, "complete": True, "members": []})
+        until(second.ready)
+        assert "another process of this balancer is here" in second.text() and "told nothing" not in second.text()
+        third = held.start()
+        until(lambda: "this one waits" in third.text())
+        assert call(third.at, READY) == 503 and third.process.poll() is None and says(held.listen) == b"MN\r\n"
+        first.process.terminate()
+        assert first.process.wait(10) == 0
+        until(third.ready)
+        # Two upgrades in a row: the second is now the older one.
+        second.process.terminate()
+        assert second.process.wait(10) == 0 and says(held.listen) == b"MN\r\n"
+        third.process.terminate()
+        assert third.process.wait(10) == 0
+
+
+def test_either_may_be_killed_at_any_time(tmp_path: Path) -> None:
+    with platform(tmp_path) as held:
+        old = held.start()
+        until(old.ready)
+        for wait in (0.0, 0.2, 0.5, 0.8, 1.2):
+            new = held.start()
+            time.sleep(wait)
+            new.process.kill()
+            new.process.wait()
+            assert old.ready() and says(held.listen) == b"MN\r\n"
+        for wait in (0.1, 0.6, 1.0):
+            new = held.start()
+            time.sleep(wait)
+            old.process.kill()
+            old.process.wait()
+            until(new.ready)
+            assert says(held.listen) == b"MN\r\n" and "Traceback" not in new.text()
+            old = new
+
+
+def test_of_a_drained_one_beside_a_new_one_no_question_gets_a_no(tmp_path: Path) -> None:
+    with platform(tmp_path) as held:
+        old = held.start()
+        until(old.ready)
+        assert call(old.at, OUT) == 200
+        new = held.start()
+        until(new.ready)
+        until(lambda: all(says(held.listen) == b"MN\r\n" for _ in range(10)))
+        assert call(old.at, READY) == 503
+        # The new one goes again: the drained one is asked again, and says no.
+        new.process.kill()
+        new.process.wait()
+        until(lambda: says(held.listen).startswith(b"SERVER_ERROR"))
+
+
+def test_an_upgrade_under_load_loses_nothing(tmp_path: Path) -> None:
+    """Clients that keep connections and clients with a new one for each: every one gets its answer, once."""
+    store = Store(5)
+    where = member(1) | {"host_port": f"127.0.0.1:{store.port}"}
+    known = {"revision": 1, "complete": True, "members": [where]}
+    wrong: list[object] = []
+    stop = threading.Event()
+    with platform(tmp_path) as held:
+        def keeps(number: int) -> None:
+            client, count = socket.create_connection(("127.0.0.1", held.listen), timeout=10), 0
+            while not stop.is_set():
+                count += 1
+                text = b"mg k9 v O%d.%d Pc=read,d=800\r\n" % (number, count)
+                for _ in range(2):  # a connection closed between two transactions: once more on a new one
+                    try:
+                        client.sendall(text)
+                        found = client.recv(1000)
+                    except OSError:
+                        found = b""
+                    if found:
+                        break
+                    client.close()
+                    client = socket.create_connection(("127.0.0.1", held.listen), timeout=10)
+                if found != b"VA 9 O%d.%d\r\nk9.k9.k9.\r\n" % (number, count) and not found.startswith(
+                        b"SERVER_ERROR busy"):
+                    wrong.append((text, found))
+                time.sleep(0.01)
+            client.close()
+
+        def comes(number: int) -> None:
+            count = 0
+            while not stop.is_set():
+                count += 1
+                try:
+                    with closing(socket.create_connection(("127.0.0.1", held.listen), timeout=10)) as client:
+                        client.sendall(b"mg k9 v O%d-%d Pc=read,d=800\r\n" % (number, count))
+                        found = client.recv(1000)
+                    if not found.startswith((b"VA 9 O%d-%d\r\n" % (number, count), b"SERVER_ERROR busy")):
+                        wrong.append(found)
+                except OSError as fault:
+                    wrong.append(fault)
+                time.sleep(0.01)
+
+        one = held.start(known=known)
+        until(one.ready)
+        people = [threading.Thread(target=keeps, args=(n,)) for n in range(8)]
+        people += [threading.Thread(target=comes, args=(n,)) for n in range(8, 12)]
+        for each in people:
+            each.start()
+        most = 0
+        for _ in range(2):
+            other = held.start(known=known)
+            until(other.ready)
+            one.process.terminate()
+            while one.process.poll() is None:
+                with suppress(OSError):
+                    most = max(most, sum(len(os.listdir(f"/proc/{x.process.pid}/fd")) for x in (one, other)))
+                time.sleep(0.02)
+            assert one.process.returncode == 0
+            one = other
+        time.sleep(0.3)
+        stop.set()
+        for each in people:
+            each.join()
+    assert not wrong, wrong[:3]
+    assert most <= 128  # what one balancer may have, for both
+
+
+def test_a_lock_is_not_taken_by_who_only_looks(tmp_path: Path) -> None:
+    mine, other = Slots(tmp_path), Slots(tmp_path)
+    assert mine.take()
+    assert not mine.other() and not mine.other()
+    assert other.take()
+    handle = os.open(tmp_path / NAMES[other.mine], os.O_RDWR)
+    with pytest.raises(BlockingIOError):
+        fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    os.close(handle)
