It listens once its loop runs; a client that connects and writes later has not waited since

Lines: Service.begin opened the port before reactor.run. Seen too: three txs counted as 3 to 4.7 s unread, and rolled back at once, on connections that were accepted that long before they wrote: ClientConnection.since held until the first bytes, whenever they came. It counts for the poll after the accept alone now. Both tests fail without the mends.

--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/front.py
@@ -82,7 +82,7 @@
             return
         front = self.front
         if not self.unread_since:
-            self.unread_since = self.since or front.turn.before
+            self.unread_since = self.first_since() or front.turn.before
         self.machine.add(data)
         if self.waits or self.stuck:
             self.keep()
@@ -111,7 +111,7 @@
         clock = self.front.loop.clock
         end = clock() + PIECE
         while True:
-            self.since = self.unread_since
+            self.since, self.turn = self.unread_since, self.front.turn.count
             self.front.busy(self)
             items = self.machine.read(STEP, self.over)
             self.read(items)
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -70,6 +70,7 @@
         self.kept = 0  # bytes of a command that is not whole
         self.moved = 0  # when bytes last went either way
         self.made = 0  # when it came
+        self.turn = 0  # in which it was accepted
         self.since = 0  # since when its first bytes may have waited, until they are read
 
     def connectionMade(self) -> None:
@@ -171,7 +172,7 @@
         if self.crowded or len(self.owed) > self.front.limits.pipelined or late:
             owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
-        self.arrives(command, owed, turn.unread(now, self.since))
+        self.arrives(command, owed, turn.unread(now, self.first_since()))
 
     def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
         names, left = command.names, max(0, command.ttl_ms * MS - unread)
@@ -181,6 +182,11 @@
         if owed.tx < 0:
             owed.put(b"CLIENT_ERROR unknown profile\r\n")
 
+    def first_since(self) -> int:
+        """Since when its first bytes may have waited, 0 for no longer than any others."""
+        # What came before it was accepted is readable at the very next poll: a client that writes later has not waited.
+        return self.since if self.front.turn.count <= self.turn + 1 else 0
+
     def share(self, command: meta.Command) -> str:
         """The name of the share of whoever asks."""
         return command.names.get("tenant", "")
@@ -295,7 +301,7 @@
         self.all.add(client)
         client.crowded = not self.sockets.client_came()
         client.moved, client.since = self.door.now(), self.turn.waits_since()
-        client.made = client.moved
+        client.made, client.turn = client.moved, self.turn.count
         self.unproven[client] = None
         self.idle(client)
         if self.sockets.full():
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -31,6 +31,8 @@
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import MarkedPoll, Turn
 
+FIRST_LOOK = 0.001  # seconds: the loop has run once
+
 
 class MonotonicReactor(EPollReactor):
     """Twisted's clock is the wall's, which may be set; ours only goes on."""
@@ -84,6 +86,7 @@
         self.discovery = self._discovery(launch.discovery)
         self.port: Any = None
         self.management = ManagementPort(reactor, self, self.limits) if launch.management is not None else None
+        self.fault: LaunchError | None = None  # found when the loop ran already
         self.ending = self.drained = False
         self.leaves: list[Any] = []  # the steps of a drain that are still to come
 
@@ -105,10 +108,18 @@
         if held is not None:
             self._beside(lambda: self._open(adopt(self.reactor, Listener, held, self.front)))
             return
+        # Once the loop runs: what the system accepts while a start still takes its time is ours, and waits unread.
+        self.reactor.callLater(FIRST_LOOK, self._listen)
+
+    def _listen(self) -> None:
+        where = self.launch.listen
+        if self.ending:
+            return
         try:
             self._open(self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host))
         except CannotListenError as fault:
-            raise LaunchError(f"listen: {where}: {fault.socketError}") from fault
+            self.fault = LaunchError(f"listen: {where}: {fault.socketError}")
+            self.reactor.stop()
 
     def _open(self, port: Any) -> None:
         if self.ending:
@@ -265,3 +276,5 @@
     for number, what in service.signals().items():
         reactor.callWhenRunning(heed, number, what)
     reactor.run()
+    if service.fault is not None:
+        raise service.fault
--- a/ternquay/net/turn.py
+++ b/ternquay/net/turn.py
@@ -16,12 +16,13 @@
 
     def __init__(self, most: int) -> None:
         self.most = most  # a turn that lasts longer takes no further transactions
-        self.began = self.before = 0
+        self.began = self.before = self.count = 0
         self.behind = 0  # since when clients may wait to be accepted, 0: at the last look there were none
 
     def begins(self, now: int, asked: int = 0) -> None:
         """The poll that was asked at `asked` returns; one that had to wait returns with the first thing that comes."""
         asked = asked or now
+        self.count += 1
         self.before = now if now - asked > BLOCKED else self.began or now
         self.began = now
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,8 +1,14 @@
 """Connections that never send a whole command, beside true ones that take their time."""
 
+import json
+from pathlib import Path
+
+from ternquay.net.launch import read_launch
 from ternquay.net.limits import SECOND
+from ternquay.net.serve import Service
 from tests.helper import Net
 from tests.test_net import mg, ms, va
+from tests.test_review_links import told
 
 
 def test_who_never_sends_a_whole_command_goes_by_age_and_not_before_a_true_one_could_have_ended() -> None:
@@ -50,3 +56,32 @@
     net.accept().feed(va(4))
     assert not fourth.lost
     assert net.sockets.clients == 2 and not net.front.kept - len(b"mg k")
+
+
+def test_a_client_that_connects_and_writes_later_has_its_whole_time() -> None:
+    """What came before it was accepted is read at the next poll; what is read after that has not waited as long."""
+    net = Net()
+    net.turn.begins(net.door.now())
+    early = net.client()
+    net.run(300)
+    net.turn.begins(net.door.now())
+    early.feed(mg(1, ttl=500))  # it may have lain there for all of that turn
+    assert [tx.ttl // 1_000_000 for tx in net.door.txs.values()] == [200]
+    net.turn.begins(net.door.now())
+    slow = net.client()
+    for _ in range(5):
+        net.run(100)
+        net.turn.begins(net.door.now())
+    slow.feed(mg(3, ttl=500))
+    assert list(net.door.txs.values())[-1].ttl // 1_000_000 == 400  # one turn, not the five since it came
+
+
+def test_it_listens_when_the_loop_runs_and_not_before(tmp_path: Path) -> None:
+    """Against what the system accepts while the start still takes its time, and which lies there unread."""
+    path, net = tmp_path / "x.json", Net()
+    path.write_text(json.dumps(told(1, 2)))
+    service = Service(net.reactor, read_launch(str(path), {}))
+    service.begin()
+    assert not net.reactor.tcpServers and service.unready()
+    net.reactor.advance(0.01)
+    assert net.reactor.tcpServers and not service.unready()
