Where gone is advice, a list that drops most hosts at once is not believed

GoneIsAdvice (Invariants; absent false, no boolean: one line) reaches the decisions by the adapter and by the configuration. A draining that was seen binds through a gone, a list without it, and an up with the old start; no host is remembered over 30 s after the list named it (FORGET).

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -45,6 +45,7 @@
 ORIGIN_FAILS, REST_FIRST, REST_MOST = 3, 100 * MS, 2 * SECOND
 COLD_MARGIN, COLD_LEAST = 1.5, 2.0  # the least hops a window, of all balancers together
 SHARE_LEAST, SHARE_SPAN = 8.0, 4.0  # a bucket's depth, in transactions and in seconds
+FORGET = 30 * SECOND  # no host is remembered for longer after the list has last named it
 ASK_FIRST, ASK_MOST, TICK, TICK_MOST = SECOND // 2, 4 * SECOND, SECOND // 4, 2 * SECOND
 
 
@@ -155,13 +156,35 @@
     # ---- the list ----
 
     def _list_changed(self, event: m.ListChanged) -> None:
-        named = {line.host for line in event.lines}
-        if event.whole:
-            for host in self.hosts.values():
-                if host.index not in named:
-                    host.standing = m.Standing.GONE
+        named = {line.host: line for line in event.lines}
+        lacks = [h for h in self.hosts.values() if not h.unlisted and (
+            event.whole if h.index not in named else named[h.index].standing is m.Standing.GONE)]
+        # Against a list that is wrong of hosts that serve, empty, shrunk or old: where gone is advice, one that drops
+        # more of them at once than fail together by themselves is not believed, and their own answers decide.
+        # A draining that was seen holds on. Harm: so many that went indeed cost hops that fail, until FORGET.
+        wrong = len(lacks) > OUT_PART * sum(1 for h in self.hosts.values() if not h.unlisted)
+        for host in lacks:
+            if self.start.gone_is_advice and (wrong or host.standing is m.Standing.DRAINING):
+                host.unlisted = self.now
+            else:
+                host.standing = m.Standing.GONE
         for line in event.lines:
-            self._listed(line)
+            if line.standing is not m.Standing.GONE:
+                self._listed(line)
+        self._settle()
+        self.ask_wait = ASK_FIRST
+        if self.start.watch_list and not self.asked:
+            self.asked = True
+            self.actions.append(m.WatchList())
+        if not self.tick_at:
+            self.tick_at = self.now
+            self._wake(self.now + TICK, -1)
+
+    def _settle(self) -> None:
+        """What follows from the hosts as they stand."""
+        for host in self.hosts.values():
+            if host.unlisted and self.now - host.unlisted > FORGET:
+                host.standing = m.Standing.GONE
         gone = {i for i, host in self.hosts.items() if host.standing is m.Standing.GONE}
         if gone:
             self.hosts = {i: host for i, host in self.hosts.items() if i not in gone}
@@ -175,27 +198,24 @@
             self.orders, self.ranked = {}, list(self.ready)
             self.even = len({h.weight for h in self.ranked}) < 2
         self.origin = next((h for h in up if h.is_origin), None)
-        self.ask_wait = ASK_FIRST
-        if self.start.watch_list and not self.asked:
-            self.asked = True
-            self.actions.append(m.WatchList())
-        if not self.tick_at:
-            self.tick_at = self.now
-            self._wake(self.now + TICK, -1)
 
     def _listed(self, line: m.Listed) -> None:
         host = self.hosts.get(line.host)
+        standing = line.standing
         if host is None:
             is_origin = self.start.aside and line.kind == self.start.origin_kind
             host = CacheHost(line.host, text_hash(line.address), is_origin, line.since, line.standing)
             self.hosts[line.host] = host
+        elif self.start.gone_is_advice and host.standing is m.Standing.DRAINING and line.since <= host.since:
+            standing = m.Standing.DRAINING  # an `up` from before that draining, as of an old list: it binds on
         elif line.since != host.since and line.standing is m.Standing.READY:
             host.since, host.fails, host.seen, host.took, host.crowd = line.since, 0, 0, 0.0, 0.0
             host.out_until, host.out_for, host.trial = 0, 0, False
         if line.since != host.cold_since:
             host.cold_since, host.cold_from = line.since, self.now
             host.cold_wait = mix(host.hash + self.start.number) / MASK
-        host.zone, host.cell, host.standing, host.part = line.zone, line.cell, line.standing, line.part
+        host.zone, host.cell, host.standing, host.part = line.zone, line.cell, standing, line.part
+        host.unlisted = 0
         weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
         if weight != host.weight:
             host.weight, self.ranked = weight, []
@@ -255,6 +275,8 @@
             self.unit_rate += (rate - self.unit_rate) * (step if self.unit_rate else 1.0)
         self.rate += (self.arrived * SECOND / passed - self.rate) * (step if self.rate else 1.0)
         self.warm_sent = self.arrived = 0
+        if self.start.gone_is_advice and any(h.unlisted for h in self.hosts.values()):
+            self._settle()
         # Not from the first few answers: one quick one would make all that follow a jam.
         if self.estimates >= CALM_AFTER:
             self.calm = min(self.usual, self.calm + CALM_GROW * self.usual * passed / TICK)
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -37,6 +37,14 @@
     return known[value]
 
 
+def flag(told: dict[str, Any], name: str, at: str) -> bool:
+    """True or false; absent: false. Against a word or a number that counts as true."""
+    value = told.get(name, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{at}.{name}: true or false is wanted, not {value!r:.40}")
+    return value
+
+
 def named(told: Any, what: str) -> list[tuple[str, dict[str, Any]]]:
     """What is listed under names, each with its path; a name stands once."""
     if not isinstance(told, list):
@@ -77,7 +85,7 @@
         quantum=span(facts, "Quantum", "", usual=0), cold_share=number(rules, "ColdShare", "Invariants", 0, 1),
         warm_within=span(rules, "WarmWithin", "Invariants"),
         tip_multiple=number(rules, "TipMultiple", "Invariants", 0, MOST),
-        tip_window=span(rules, "Fall", "Invariants"),
+        tip_window=span(rules, "Fall", "Invariants"), gone_is_advice=flag(rules, "GoneIsAdvice", "Invariants"),
     )
 
 
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -78,6 +78,7 @@
     warm_within: int
     tip_multiple: float
     tip_window: int
+    gone_is_advice: bool = False  # of the list only a draining that was seen binds
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -6,12 +6,12 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any, Protocol
 
 from ternquay import model as m
-from ternquay.balance import Balancer
+from ternquay.balance import FORGET, Balancer
 from ternquay.facts import Names
 from ternquay.net.flood import Flood
 from ternquay.net.flow import Flow
@@ -117,6 +117,7 @@
         self.watch: Callable[[], None] = lambda: None
         self.hosts: dict[str, int] = {}
         self.members: dict[str, Member] = {}  # the list as it stands
+        self.doubted: dict[str, int] = {}  # since when the list lacks them, where gone is advice
         self.part = 1.0  # of what a cold cache host takes of this balancer
         self.txs: dict[int, OpenTx] = {}
         self.next_tx = self.next_host = self.held = 0
@@ -321,6 +322,10 @@
         self.happened(m.ListLost())
 
     def list_told(self, whole: bool, members: tuple[Member, ...]) -> None:
+        doubted: tuple[m.Listed, ...] = ()
+        if self.start.gone_is_advice:
+            members, doubted = self._advised(whole, members)
+            whole = False
         gone = {member.id for member in members if member.standing is m.Standing.GONE} & self.hosts.keys()
         if whole:
             gone |= self.hosts.keys() - {member.id for member in members}
@@ -334,13 +339,38 @@
         self.members.update((member.id, member) for member in members)
         for name in gone:
             self.members.pop(name, None)
-        self.happened(m.ListChanged(whole, lines))
+        self.happened(m.ListChanged(whole, lines + doubted))
         # Only now, as what comes back is sent elsewhere by what the decisions know.
         for line in lines:
             self.pool.recall(line.host)
         for name in sorted(gone):
             self.pool.unlisted(self.hosts.pop(name))
 
+    def _advised(self, whole: bool, members: tuple[Member, ...]) -> tuple[tuple[Member, ...], tuple[m.Listed, ...]]:
+        """Where gone is advice: what the list names, and lines for what it lacks or calls gone.
+
+        The decisions are told of those; here they stay as they are, and can be reached, until they are forgotten.
+        """
+        named = {x.id for x in members if x.standing is not m.Standing.GONE}
+        lacks = ({x.id for x in members} - named) & self.hosts.keys() | (self.hosts.keys() - named if whole else set())
+        for name in named:
+            self.doubted.pop(name, None)
+        if lacks and not self.doubted:
+            self.later(self.now() + FORGET + SECOND, self._forget)
+        for name in lacks:
+            self.doubted.setdefault(name, self.now())
+        lines = tuple(replace(self._line(self.members[name]), standing=m.Standing.GONE) for name in sorted(lacks))
+        return tuple(x for x in members if x.id in named), lines
+
+    def _forget(self) -> None:
+        """Hosts that the list has lacked for so long that the decisions have forgotten them."""
+        before = self.now() - FORGET - SECOND
+        for name in [name for name, since in self.doubted.items() if since <= before]:
+            del self.doubted[name], self.members[name]
+            self.pool.unlisted(self.hosts.pop(name))
+        if self.doubted:
+            self.later(min(self.doubted.values()) + FORGET + SECOND, self._forget)
+
     def beside(self, part: float) -> None:
         """Another process of this balancer sends to the same cache hosts, or does no more."""
         if part != self.part:
