--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -484,11 +484,12 @@
             tx.give_up = min(tx.goal, end)
         self.arrived += 1
         self.extra = min(EXTRA_MOST, self.extra + EXTRA_RATE)
-        if 0 <= e.share < len(self.shares):
-            tx.over = self._over_share(e.share)
         if e.key is not None:
             tx.key = text_hash(e.key)
             tx.range = self._count(tx.key)
+        if 0 <= e.share < len(self.shares):
+            # What fails anywhere takes no other's place: it comes as beyond the share, and out of none of it.
+            tx.over, tx.share = self.bad.get(tx.key, 0) > self.now or self._over_share(e.share), e.share
         if tx.give_up <= self.now:
             return self._finish(tx)
         self._wake(tx.give_up, tx.id)
@@ -729,6 +730,9 @@
                 self.bad = {k: until for k, until in self.bad.items() if until > self.now}
             if len(self.bad) < BAD_MOST:
                 self.bad[tx.key] = self.now + BAD_FOR
+            if tx.share >= 0 and not tx.over:
+                self.share_left[tx.share] += 1.0
+                tx.over = True
             return True
         return False
 
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -389,3 +389,7 @@
     @property
     def before(self) -> int:  # type: ignore[override]
         return self.whole.before
+
+    @property
+    def count(self) -> int:  # type: ignore[override]
+        return self.whole.count
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -76,4 +76,5 @@
     ended: bool = False
     whole: bool = True
     since: int = 0
+    share: int = -1
     missed: CacheHost | None = None
--- a/tests/test_anywhere.py
+++ b/tests/test_anywhere.py
@@ -73,3 +73,19 @@
     assert first.fails == 0 and not first.out_for
     play.end(tx, m.End.DONE, 1)
     assert first.fails == 1 or first.out_for
+
+
+def test_what_fails_anywhere_takes_nothing_of_its_tenants_share() -> None:
+    play = Play(4)
+    tx = play.arrive(key="x", share=0)
+    before = play.balancer.share_left[0]
+    play.end(tx, m.End.ERROR, 0)
+    play.end(tx, m.End.ERROR, 1)
+    assert play.balancer.share_left[0] == before + 1.0  # given back
+    for _ in range(20):  # more than its bucket holds
+        tx = play.arrive(key="x", share=0)
+        if tx in play.hops:
+            play.end(tx, m.End.ERROR, 0)
+    assert play.balancer.share_left[0] >= before
+    tx = play.arrive(key="good", share=0)
+    assert not play.balancer.txs[tx].over
