--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,14 +1,17 @@
 """Connections that never send a whole command, beside true ones that take their time."""
 
 import json
+import socket
+import time
 from pathlib import Path
 
 from ternquay.net.launch import read_launch
 from ternquay.net.limits import SECOND
 from ternquay.net.serve import Service
-from tests.helper import Net
+from tests.helper import Net, member
+from tests.test_flow import Store
 from tests.test_net import mg, ms, va
-from tests.test_review_links import told
+from tests.test_review_links import free, serving, told
 
 
 def test_who_never_sends_a_whole_command_goes_by_age_and_not_before_a_true_one_could_have_ended() -> None:
@@ -85,3 +88,27 @@
     assert not net.reactor.tcpServers and service.unready()
     net.reactor.advance(0.01)
     assert net.reactor.tcpServers and not service.unready()
+
+
+def test_on_loopback_true_clients_are_answered_beside_a_crowd_that_never_finishes(tmp_path: Path) -> None:
+    listen, store = free(), Store(9)
+    where = member(1) | {"host_port": f"127.0.0.1:{store.port}"}
+    config = told(listen, free(), known={"revision": 1, "complete": True, "members": [where]})
+    with serving(config, tmp_path) as process:
+        crowd, answered = [], 0
+        until = time.monotonic() + 9
+        while time.monotonic() < until:
+            # More than there is room for, all the time; each true client comes with a connection of its own.
+            for _ in range(4):
+                one = socket.create_connection(("127.0.0.1", listen), timeout=10)
+                one.sendall(b"mg k v")
+                crowd.append(one)
+            with socket.create_connection(("127.0.0.1", listen), timeout=10) as client:
+                client.sendall(b"mg k9 v O%d Pc=read,d=900\r\n" % len(crowd))
+                answered += client.recv(200).startswith(b"VA 9")
+            time.sleep(0.2)
+        tries = len(crowd) // 4
+        assert process.poll() is None and tries > 20
+        assert answered > 0.6 * tries, (answered, tries)
+        for one in crowd:
+            one.close()
