Read again: one pause, one hand-back of what was not begun, one clock of a hop

Both drivers paused and resumed their transport by the same lines (now Driver.pause); HostConnection.begins repeated the first half of recall (hand_back); the timer of a hop was set in two places (Door._time); whether a key fails anywhere was asked in three (Balancer._bad); pour() wrote in two branches alike; a condition in Replacement.look decided nothing, and notes.py exported a name that is listing's. Behaviour is as it was.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -489,7 +489,7 @@
             tx.range = self._count(tx.key)
         if 0 <= e.share < len(self.shares):
             # What fails anywhere takes no other's place: it comes as beyond the share, and out of none of it.
-            tx.over, tx.share = self.bad.get(tx.key, 0) > self.now or self._over_share(e.share), e.share
+            tx.over, tx.share = self._bad(tx) or self._over_share(e.share), e.share
         if tx.give_up <= self.now:
             return self._finish(tx)
         self._wake(tx.give_up, tx.id)
@@ -594,7 +594,7 @@
     def _go_on(self, tx: Tx, hop: Hop, end: m.End) -> None:
         if tx.out:
             return
-        if self.now >= tx.give_up or (end is m.End.ERROR and self.bad.get(tx.key, 0) > self.now):
+        if self.now >= tx.give_up or (end is m.End.ERROR and self._bad(tx)):
             self._finish(tx)
         elif end is m.End.MISS and not hop.host.is_origin:
             tx.missed = tx.missed or hop.host
@@ -715,6 +715,9 @@
         elif e.end in FAILURES and not hop.judged:
             self._failed_once(hop, self._spacing() > FADE)
 
+    def _bad(self, tx: Tx) -> bool:
+        return self.bad.get(tx.key, 0) > self.now
+
     def _fails_anywhere(self, tx: Tx, hop: Hop) -> bool:
         # Against a cache host, or the origin, blamed for what would have failed anywhere: an error counts
         # when another cache host has answered that tx, and not at all once its key has failed at two. Such a
@@ -723,7 +726,7 @@
         if not tx.range:
             return False
         others = [h for h in tx.hops if h.erred and h.host is not hop.host]
-        if others or self.bad.get(tx.key, 0) > self.now:
+        if others or self._bad(tx):
             for other in others:
                 other.erred = False
             if len(self.bad) >= BAD_MOST:
--- a/ternquay/handover/notes.py
+++ b/ternquay/handover/notes.py
@@ -13,7 +13,7 @@
 import orjson
 
 from ternquay import model as m
-from ternquay.net.listing import Address, Member, address
+from ternquay.net.listing import Member, address
 
 VERSION, MOST = 1, 1 << 20
 HEAD_MOST = 100
@@ -106,6 +106,3 @@
     def second(self, told: int | None) -> int:
         """The second one's, by what the first has told of its own."""
         return self.start if told is None else max(self.start, self.whole - told)
-
-
-__all__ = ["Address", "Ceilings", "Note", "NoteUnfit", "learned_read", "learned_text", "read", "written"]
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -234,7 +234,7 @@
         for hop in tx.hops:
             if not hop.ended:
                 hop.sent, hop.not_past = now, hop.not_past + now - tx.came
-                hop.call = self.later(hop.not_past + 1000, self._give_up, hop, m.End.TIMED_OUT)
+                self._time(hop)
         self.happened(m.TxWhole(tx.id))
 
     def gone(self, number: int) -> None:
@@ -280,9 +280,12 @@
             self.hop_ended(hop, m.End.SKIPPED)
             return
         if tx.whole:
-            hop.call = self.later(a.not_past + 1000, self._give_up, hop, m.End.TIMED_OUT)
+            self._time(hop)
         self.pool.send(hop)
 
+    def _time(self, hop: Outgoing) -> None:
+        hop.call = self.later(hop.not_past + 1000, self._give_up, hop, m.End.TIMED_OUT)
+
     def _give_up(self, hop: Outgoing, end: m.End) -> None:
         hop.ended = True
         self.pool.give_up(hop)
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -40,6 +40,13 @@
         self.finish()
         return True
 
+    def pause(self, back: bool) -> None:
+        """Reads no more for now, or goes on."""
+        if back:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
     def finish(self) -> None:
         """Closes once all is written; with a producer the transport never would."""
         self.transport.unregisterProducer()
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -133,10 +133,7 @@
         """The cache host takes a large value more slowly than it comes, or goes on."""
         if not self.ended:
             self.moved = self.front.door.now()
-            if back:
-                self.transport.pauseProducing()
-            else:
-                self.transport.resumeProducing()
+            self.pause(back)
 
     def came(self) -> None:
         """The last byte of a large value."""
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -99,9 +99,8 @@
         if flow.over():
             self.pours, flow.sink = None, nothing
             hop.written = True
-            self.filled = True
-            self.transport.write(data + b"\r\n")
-        elif data:
+            data += b"\r\n"
+        if data:
             self.filled = True
             self.transport.write(data)
         else:
@@ -152,10 +151,7 @@
     def begins(self, begun: Begun) -> None:
         self.note, self.moved = begun.note, self.pool.door.now()
         self.flow = Flow(begun.length, self.pool.limits.piece, self.hold, self.drop)
-        # Against what is small behind what is large: it goes out elsewhere.
-        waiting, self.to_write = self.to_write, deque()
-        for hop in waiting:
-            self.pool.door.hop_ended(hop, m.End.SKIPPED)
+        self.hand_back()  # against what is small behind what is large
 
     def comes(self, data: bytes) -> None:
         """With its first byte it is the answer: it has come in time, and no other hop can give it any more."""
@@ -179,13 +175,9 @@
 
     def hold(self, back: bool) -> None:
         """Whoever takes the value is behind, or goes on."""
-        if self.closing:
-            return
-        self.moved = self.pool.door.now()
-        if back:
-            self.transport.pauseProducing()
-        else:
-            self.transport.resumeProducing()
+        if not self.closing:
+            self.moved = self.pool.door.now()
+            self.pause(back)
 
     def silent(self) -> bool:
         """A large value has begun, and nothing more of it comes though nobody holds it back."""
@@ -218,14 +210,18 @@
 
     def recall(self) -> None:
         """Nothing new may go out here any more: what was not begun ends as never sent, and is decided on anew."""
-        waiting, self.to_write = self.to_write, deque()
-        for hop in waiting:
-            self.pool.door.hop_ended(hop, m.End.SKIPPED)
+        self.hand_back()
         if self.up:
             self.settle()
         else:
             self.drop()
 
+    def hand_back(self) -> None:
+        """What was not begun ends as never sent, and goes out elsewhere."""
+        waiting, self.to_write = self.to_write, deque()
+        for hop in waiting:
+            self.pool.door.hop_ended(hop, m.End.SKIPPED)
+
     def settle(self) -> None:
         """Idle again, or of no more use: with nothing but given-up hops on it, it is closed to end them."""
         if not self.up or self.closing or self.to_write:
--- a/ternquay/net/replace.py
+++ b/ternquay/net/replace.py
@@ -102,9 +102,7 @@
             then()
         if other:
             self._tell(now)
-        serves = note is not None and note.serves
-        if serves != self.other_serves or not other:
-            self.other_serves = serves
+        self.other_serves = note is not None and note.serves
         service.met()
         self._later(self.look)
 
