Sizes from weights that move with load; homes in the own zone where crossing is dear

Change: a kind's size is the second highest weight that any of its hosts was listed with; it is the weight of the highest hash, of the in-flight cap and of the cold budget, and moves no key with load. Where a crossing costs CROSS_DEAR or more, a range's home is the highest of its group's ranking in the own zone, as long as the own zone's hosts and the origin are not strained; then a part of the ranges goes back to its home in the whole fleet, and returns in steps.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -26,6 +26,7 @@
 SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
 SAMPLE = 128  # accesses before a share is believed
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
+CROSS_DEAR, NEAR_UP, NEAR_DOWN = 0.05, 0.02, 0.05
 PLACES = 4  # drawn among the next-best groups for a spill
 
 # Health and further hops.
@@ -71,9 +72,11 @@
         self.hosts: dict[int, CacheHost] = {}
         self.ready: list[CacheHost] = []
         self.origin: CacheHost | None = None
-        self.orders: dict[int, list[CacheHost]] = {}
+        self.orders: dict[tuple[int, bool], list[CacheHost]] = {}
         self.ranked: list[CacheHost] = []
         self.ask_wait, self.asked, self.even = ASK_FIRST, False, True  # even: all of one weight
+        self.weights = self.near_weights = 1.0
+        self.near_part, self.strained = 1.0, False
         # Transactions, and when to look at them again.
         self.txs: dict[int, Tx] = {}
         self.heap: list[tuple[int, int, int]] = []
@@ -196,11 +199,15 @@
                 holders -= gone
         up = [h for h in self.hosts.values() if h.standing is m.Standing.READY]
         self.ready = [h for h in up if not h.is_origin]
+        if self.start.weights is m.Weights.LIVE:
+            self._learn_sizes()
         # A host less is passed over where it stands; only a new one, or a new weight, needs new orders.
         # By the record and not its index: under that one may come back that is another.
         if not set(self.ready) <= set(self.ranked):
             self.orders, self.ranked = {}, list(self.ready)
             self.even = len({h.weight for h in self.ranked}) < 2
+        self.weights = sum(h.weight for h in self.ready) or 1.0
+        self.near_weights = sum(h.weight for h in self.ready if h.zone == self.start.zone) or 1.0
         self.origin = next((h for h in up if h.is_origin), None)
 
     def _listed(self, line: m.Listed) -> None:
@@ -220,10 +227,24 @@
             host.cold_wait = mix(host.hash + self.start.number) / MASK
         host.zone, host.cell, host.standing, host.part = line.zone, line.cell, standing, line.part
         host.unlisted = 0
-        weight = line.hint if self.start.hints_weigh and line.hint > 0 else 1.0
-        if weight != host.weight:
+        if self.start.weights is m.Weights.SIZES:
+            self._weigh(host, line.hint)
+        elif self.start.weights is m.Weights.LIVE:
+            host.kind, host.hint, host.size = line.kind, line.hint, max(host.size, line.hint)
+
+    def _weigh(self, host: CacheHost, weight: float) -> None:
+        if weight != host.weight and weight > 0:
             host.weight, self.ranked = weight, []
 
+    def _learn_sizes(self) -> None:
+        # Weights that fall with load stand at the size of a host that holds nothing: a kind's is the second
+        # highest that any host of it was listed with. Against keys that move with each list; one absurd weight.
+        sizes: dict[int, list[float]] = {}
+        for host in self.ready:
+            sizes.setdefault(host.kind, []).append(host.size)
+        for host in self.ready:
+            self._weigh(host, sorted(sizes[host.kind])[-2:][0])
+
     def _list_lost(self) -> None:
         # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
         if self.start.watch_list:
@@ -279,6 +300,8 @@
             self.unit_rate += (rate - self.unit_rate) * (step if self.unit_rate else 1.0)
         self.rate += (self.arrived * SECOND / passed - self.rate) * (step if self.rate else 1.0)
         self.warm_sent = self.arrived = 0
+        step = -NEAR_DOWN if self.strained else NEAR_UP
+        self.near_part, self.strained = max(0.0, min(1.0, self.near_part + step * passed / TICK)), False
         if self.start.gone_is_advice and any(h.unlisted for h in self.hosts.values()):
             self._settle()
         # Not from the first few answers: one quick one would make all that follow a jam.
@@ -373,9 +396,11 @@
 
     # ---- from group to cache host ----
 
-    def _order(self, group: int) -> list[CacheHost]:
-        order = self.orders.get(group)
-        if order is None:
+    def _order(self, group: int, near: bool = False) -> list[CacheHost]:
+        order = self.orders.get((group, near))
+        if order is None and near:
+            order = self.orders[group, near] = [h for h in self._order(group) if h.zone == self.start.zone]
+        elif order is None:
             # One product for each host and no call: with few transactions a second nearly each pays for one.
             salt = mix(group + 1) | 1
             drawn: list[float] = [h.hash * salt & MASK for h in self.ranked]
@@ -383,7 +408,7 @@
                 pairs = zip(self.ranked, drawn, strict=True)
                 drawn = [h.weight / -log((d + 1) / (MASK + 2)) for h, d in pairs]
             ranked = sorted(range(len(drawn)), key=drawn.__getitem__, reverse=True)
-            order = self.orders[group] = [self.ranked[i] for i in ranked]
+            order = self.orders[group, near] = [self.ranked[i] for i in ranked]
         return order
 
     def _warmth(self, host: CacheHost) -> float:
@@ -397,9 +422,9 @@
         up = host.standing is m.Standing.READY and host.out_until <= self.now
         return up and not (host.trial and host.inflight)
 
-    def _servers(self, group: int, most: int, skip: list[Hop]) -> list[CacheHost]:
+    def _servers(self, group: int, most: int, skip: list[Hop], near: bool = False) -> list[CacheHost]:
         found: list[CacheHost] = []
-        for host in self._order(group):
+        for host in self._order(group, near):
             if any(hop.host is host for hop in skip) or not self._usable(host):
                 continue
             # Against a cold cache host that gets its full part at once: of the groups it ranks highest for,
@@ -414,8 +439,10 @@
         return found
 
     def _crowded(self, host: CacheHost) -> bool:
-        mean = self.inflight / max(1, len(self.ready))
-        if host.inflight > OVER_MULTIPLE * mean + OVER_FLOOR:
+        part = self.inflight * host.weight / self.weights
+        if self.start.cross_price >= CROSS_DEAR and host.zone == self.start.zone:
+            part = max(part, self.near_part * self.inflight * host.weight / self.near_weights)
+        if host.inflight > OVER_MULTIPLE * part + OVER_FLOOR:
             return True
         # Of many balancers each has next to nothing in flight, so a crowd shows in the times alone.
         rare = self._spacing() > FADE
@@ -429,7 +456,13 @@
             return min(pair, key=lambda h: h.inflight) if pair else None
         # Against a hot key that always spills to one and the same place: it has a prefix of its ranking.
         share = (rng.count - 1) / max(SAMPLE, len(self.window))
-        near = self._servers(rng.group, 1 << int(share * len(self.ready) * SPREAD).bit_length(), tx.hops)
+        places = 1 << int(share * len(self.ready) * SPREAD).bit_length()
+        if self.start.cross_price >= CROSS_DEAR and rng.hash <= self.near_part * MASK:
+            for host in self._servers(rng.group, places, tx.hops, near=True):
+                if not self._crowded(host) and self._in_time(tx, host):
+                    return host
+            self.strained = True
+        near = self._servers(rng.group, places, tx.hops)
         # Of many balancers none sees a crowd, so each begins at its own; half keep it when places double.
         first = (self.start.number + rng.group) % len(near) if near else 0
         near = near[first:] + near[:first]
@@ -621,6 +654,7 @@
             # A slow origin shows in a fetch that stays out long before it ends.
             took = max(self.origin_took, self.now - self.fetch_at if self.fetch_out else 0)
             wait = (len(self.origin_queue) / self.origin_limit + 1) * took
+            self.strained = True
             if self.now + wait > tx.goal or (tx.over and not tx.write):
                 self._finish(tx)
             else:
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -7,6 +7,9 @@
 US = 1000
 KINDS = {"repeatable": m.Kind.IDEMPOTENT, "by_key": m.Kind.JOURNALLED, "once": m.Kind.NON_IDEMPOTENT}
 SCOPES = {"all": m.Scope.ALL, "zone": m.Scope.ZONE, "cell": m.Scope.CELL}
+WEIGHTS = {
+    "none": m.Weights.NONE, "nominal": m.Weights.SIZES, "rough": m.Weights.SIZES, "live": m.Weights.LIVE,
+}
 LONGEST = 10**12  # of any time that is told, in microseconds: some eleven days
 MOST = 10**9  # of any count or rate
 
@@ -33,7 +36,8 @@
 def choice(told: dict[str, Any], name: str, at: str, known: dict[str, Any], usual: str | None = None) -> Any:
     value = told.get(name, usual)
     if not isinstance(value, str) or value not in known:
-        raise ValueError(f"{at}.{name}: one of {', '.join(known)} is wanted, not {value!r:.40}")
+        field = f"{at}.{name}" if at else name
+        raise ValueError(f"{field}: one of {', '.join(known)} is wanted, not {value!r:.40}")
     return known[value]
 
 
@@ -80,12 +84,14 @@
         aside=family.get("Mode") == "aside", origin_kind=family.get("OriginKind", -1),
         watch_list=facts.get("Discovery") == "on_request", cancel=limits.get("Cancel", False),
         parallel=limits.get("ParallelTries", False), most_hops=int(number(limits, "MostHops", "Limits", 1, MOST, 1)),
-        hints_weigh=facts.get("Weights") in ("nominal", "rough"),
+        weights=choice(facts, "Weights", "", WEIGHTS, "none"),
         max_backoff=span(limits, "MaxRetryAfter", "Limits", usual=0) if limits.get("RetryAfter") else 0,
         quantum=span(facts, "Quantum", "", usual=0), cold_share=number(rules, "ColdShare", "Invariants", 0, 1),
         warm_within=span(rules, "WarmWithin", "Invariants"),
         tip_multiple=number(rules, "TipMultiple", "Invariants", 0, MOST),
         tip_window=span(rules, "Fall", "Invariants"), gone_is_advice=flag(rules, "GoneIsAdvice", "Invariants"),
+        zone=Names(facts).zones.get(facts.get("Zone"), -1),
+        cross_price=number(facts.get("Prices", {}), "CrossZone", "Prices", 0, MOST, 0.0),
     )
 
 
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -74,7 +74,7 @@
         profiles=tuple(one.profile for one in tenant.profiles),
         quotas=(*(share.txs_a_second for share in tenant.shares), 0.0),
         aside=False, origin_kind=-1, watch_list=False, cancel=True, parallel=True, most_hops=MOST_HOPS,
-        hints_weigh=True, max_backoff=BACKOFF_MOST, quantum=0, cold_share=rules.cold_share,
+        weights=m.Weights.SIZES, max_backoff=BACKOFF_MOST, quantum=0, cold_share=rules.cold_share,
         warm_within=rules.warm_within, tip_multiple=rules.tip_multiple, tip_window=rules.tip_window)
 
 
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -46,6 +46,14 @@
     GONE = 3
 
 
+class Weights(Enum):
+    """What the list's weights are."""
+
+    NONE = 1
+    SIZES = 2
+    LIVE = 3  # the size, lowered the more the cache host holds
+
+
 @dataclass(slots=True, frozen=True)
 class Profile:
     kind: Kind
@@ -71,13 +79,15 @@
     cancel: bool
     parallel: bool
     most_hops: int
-    hints_weigh: bool
+    weights: Weights
     max_backoff: int  # 0 where clients are given none
     quantum: int
     cold_share: float
     warm_within: int
     tip_multiple: float
     tip_window: int
+    zone: int = -1  # its own
+    cross_price: float = 0.0  # of a hop to another zone, as a part of what a transaction earns
     gone_is_advice: bool = False  # of the list only a draining that was seen binds
 
 
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -30,6 +30,9 @@
     zone: int = -1
     cell: int = 0
     weight: float = 1.0
+    kind: int = -1
+    hint: float = 0.0  # the weight last listed, where it moves with load
+    size: float = 0.0  # the highest such
     inflight: int = 0
     fails: int = 0  # in a row
     out_until: int = 0
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -28,7 +28,7 @@
 START = m.Started(
     seed=7, balancers=2, number=0, profiles=(READ, MARKED, ONCE, replace(MARKED, scope=m.Scope.ZONE)),
     quotas=(4.0, 1000.0), aside=False, origin_kind=-1, watch_list=False, cancel=True, parallel=True,
-    most_hops=4, hints_weigh=False,
+    most_hops=4, weights=m.Weights.NONE,
     max_backoff=SECOND, quantum=5 * MS, cold_share=0.2, warm_within=20 * SECOND, tip_multiple=3.0,
     tip_window=SECOND,
 )
--- a/tests/test_review_input.py
+++ b/tests/test_review_input.py
@@ -257,7 +257,7 @@
     def weighed(*hints: float) -> tuple[m.Listed, ...]:
         return tuple(m.Listed(n, f"h{n}", 0, 0, 0, m.Standing.READY, hint, 0) for n, hint in enumerate(hints))
 
-    old, new = Play(hosts=0, hints_weigh=True), Play(hosts=0, hints_weigh=True)
+    old, new = Play(hosts=0, weights=m.Weights.SIZES), Play(hosts=0, weights=m.Weights.SIZES)
     for hints in ((1.0, 1.0, 1.0, 1.0), (4.0, 1.0, 0.5, 1.0)):
         old.list(*weighed(*hints), whole=True)
         for group in range(64):
