Hosts that the list tells to hold too much give up ranges by the ranges' own draw

Change: of each list a host that holds over twice the median and two a core more keeps a smaller part of its ranges, else a larger one, in steps; which ranges go is the range's own draw, so that all balancers spill the same ones to the same places and none runs to the host that looked empty.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -27,6 +27,7 @@
 SAMPLE = 128  # accesses before a share is believed
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
 CROSS_DEAR, NEAR_UP, NEAR_DOWN = 0.05, 0.02, 0.05
+HELD_FLOOR, ROOM_UP, ROOM_DOWN = 2.0, 0.05, 0.15
 PLACES = 4  # drawn among the next-best groups for a spill
 
 # Health and further hops.
@@ -244,6 +245,11 @@
             sizes.setdefault(host.kind, []).append(host.size)
         for host in self.ready:
             self._weigh(host, sorted(sizes[host.kind])[-2:][0])
+        held = {h.index: h.weight / h.hint - 1 for h in self.ready if h.hint > 0}
+        cap = OVER_MULTIPLE * sorted(held.values())[len(held) // 2] + HELD_FLOOR if held else 0.0
+        for host in self.ready:
+            step = -ROOM_DOWN if held.get(host.index, 0.0) > cap else ROOM_UP
+            host.room = max(0.0, min(1.0, host.room + step))
 
     def _list_lost(self) -> None:
         # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
@@ -438,7 +444,9 @@
                     break
         return found
 
-    def _crowded(self, host: CacheHost) -> bool:
+    def _crowded(self, tx: Tx, host: CacheHost) -> bool:
+        if tx.range is not None and mix(tx.range.hash) > host.room * MASK:
+            return True
         part = self.inflight * host.weight / self.weights
         if self.start.cross_price >= CROSS_DEAR and host.zone == self.start.zone:
             part = max(part, self.near_part * self.inflight * host.weight / self.near_weights)
@@ -459,7 +467,7 @@
         places = 1 << int(share * len(self.ready) * SPREAD).bit_length()
         if self.start.cross_price >= CROSS_DEAR and rng.hash <= self.near_part * MASK:
             for host in self._servers(rng.group, places, tx.hops, near=True):
-                if not self._crowded(host) and self._in_time(tx, host):
+                if not self._crowded(tx, host) and self._in_time(tx, host):
                     return host
             self.strained = True
         near = self._servers(rng.group, places, tx.hops)
@@ -470,11 +478,11 @@
             # A write may go to any cache host, and many may run but once: not where it would come back late.
             near = sorted(self._servers(rng.group, len(self.ready), tx.hops), key=self._expected)[:1]
         for host in near:
-            if not self._crowded(host):
+            if not self._crowded(tx, host):
                 return host if self._in_time(tx, host) else None
         for i in range(PLACES):
             for host in self._servers(self._lightest(self.least, rng.hash + i), 1, tx.hops):
-                if not self._crowded(host) and self._in_time(tx, host):
+                if not self._crowded(tx, host) and self._in_time(tx, host):
                     return host
         return next((h for h in near if self._in_time(tx, h)), None)
 
