--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -605,9 +605,13 @@
         last = tx.hops[-1]
         out, lost = last.host.out_until > self.now, self._overtaken(last)
         full = last.fetches and not self._origin_room()
-        if not self.start.parallel or tx.out > 1 or self.extra < 1 or full or not (out or lost):
+        if not self.start.parallel or tx.out > 1 or self.extra < 1 or full:
             return
-        host = last.host if lost and self._usable(last.host) else self._choose(tx)
+        if out or lost:
+            host = last.host if lost and self._usable(last.host) else self._choose(tx)
+        else:
+            spare = self.start.aside and not (tx.write or tx.over or last.host.is_origin or self.origin_queue)
+            host = self.origin if spare and self._origin_room() else None
         if host is not None and self._send(tx, host):
             self.extra -= 1
 
