--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -611,7 +611,7 @@
             host = last.host if lost and self._usable(last.host) else self._choose(tx)
         else:
             spare = self.start.aside and not (tx.write or tx.over or last.host.is_origin or self.origin_queue)
-            host = self.origin if spare and self._origin_room() else None
+            host = self.origin if spare and self.fetch_out < self.origin_limit / 2 else None
         if host is not None and self._send(tx, host):
             self.extra -= 1
 
