--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -607,11 +607,13 @@
         full = last.fetches and not self._origin_room()
         if not self.start.parallel or tx.out > 1 or self.extra < 1 or full:
             return
-        if out or lost:
+        spare = self.start.aside and not (tx.write or tx.over or last.host.is_origin or self.origin_queue)
+        if spare and self.fetch_out < self.origin_limit / 2:
+            host = self.origin
+        elif out or lost:
             host = last.host if lost and self._usable(last.host) else self._choose(tx)
         else:
-            spare = self.start.aside and not (tx.write or tx.over or last.host.is_origin or self.origin_queue)
-            host = self.origin if spare and self.fetch_out < self.origin_limit / 2 else None
+            host = None
         if host is not None and self._send(tx, host):
             self.extra -= 1
 
