Rooms by time: what a host holds, times the service time that it reports

Cause: a small host takes three times as long for one as a fast one, and a neighbour's work lengthens it further; the cap on what is held took both alike. Reports of load come to the decisions with the end of a hop (facts.Names.report decodes them by LoadReport.Names; what is no figure of its own counts as not told).

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -245,7 +245,11 @@
             sizes.setdefault(host.kind, []).append(host.size)
         for host in self.ready:
             self._weigh(host, sorted(sizes[host.kind])[-2:][0])
+        each = sorted(h.service for h in self.ready if h.service)
+        mid = each[len(each) // 2] if each else 0.0
         held = {h.index: h.weight / h.hint - 1 for h in self.ready if h.hint > 0}
+        if mid:
+            held = {h.index: held[h.index] * (h.service or mid) / mid for h in self.ready if h.hint > 0}
         cap = OVER_MULTIPLE * sorted(held.values())[len(held) // 2] + HELD_FLOOR if held else 0.0
         for host in self.ready:
             step = -ROOM_DOWN if held.get(host.index, 0.0) > cap else ROOM_UP
@@ -628,6 +632,8 @@
             hop.host.inflight -= 1
             self.inflight -= not hop.host.is_origin
         self._judge(tx, hop, e)
+        if e.report is not None and e.report.service > 0:
+            hop.host.service = e.report.service
         if e.closed and not tx.ended:
             self._close(tx)
         elif not tx.ended:
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -10,6 +10,11 @@
 WEIGHTS = {
     "none": m.Weights.NONE, "nominal": m.Weights.SIZES, "rough": m.Weights.SIZES, "live": m.Weights.LIVE,
 }
+REPORTS = {  # a value whose name is not known is passed over
+    "concurrent": ("held", 1.0), "depth": ("held", 1.0), "mean_ms": ("service", 1e6), "err_ps": ("errors", 1.0),
+    "tps": ("done", 1.0),
+}
+REPORT_MOST = 4
 LONGEST = 10**12  # of any time that is told, in microseconds: some eleven days
 MOST = 10**9  # of any count or rate
 
@@ -95,6 +100,18 @@
     )
 
 
+def read_report_names(facts: dict[str, Any]) -> list[tuple[str, float]]:
+    """The field and unit of each value of a load report, in their order; none where answers carry none."""
+    told = facts.get("LoadReport") or {}
+    source = choice(told, "Source", "LoadReport", {"answers": True, "probe": False, "none": False}, "none")
+    names = told.get("Names") or []
+    if not isinstance(names, list) or not all(isinstance(n, str) and n for n in names):
+        raise ValueError(f"LoadReport.Names: a list of names is wanted, not {names!r:.40}")
+    if len(names) > REPORT_MOST or len(set(names)) < len(names):
+        raise ValueError(f"LoadReport.Names: at most {REPORT_MOST} names, each once, are wanted, not {names!r:.40}")
+    return [REPORTS.get(name, ("", 0.0)) for name in names] if source else []
+
+
 class Names:
     """The small indices that stand for the deployment's names."""
 
@@ -103,3 +120,14 @@
         self.shares = {t["Name"]: i for i, t in enumerate(facts.get("Tenants") or [])}
         self.zones = {z: i for i, z in enumerate(facts.get("Zones") or [])}
         self.kinds = {k: i for i, k in enumerate(facts.get("Kinds") or [])}
+        self.reports = read_report_names(facts)
+
+    def report(self, row: Any) -> m.Report | None:
+        """What came with an answer. Against rows that are odd: what is no figure of its own counts as not told."""
+        if not self.reports or not isinstance(row, list) or len(row) != len(self.reports):
+            return None
+        told = {
+            field: float(value) * unit for (field, unit), value in zip(self.reports, row, strict=True)
+            if field and isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= MOST
+        }
+        return m.Report(**told) if told else None
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -136,6 +136,16 @@
     tx: int
 
 
+@dataclass(slots=True, frozen=True)
+class Report:
+    """What a cache host told of its load with an answer: late, noisy; what it did not tell is below nought."""
+
+    held: float = -1.0  # transactions that it holds, or that wait there
+    service: float = -1.0  # its time for one, without waiting
+    errors: float = -1.0  # a second
+    done: float = -1.0  # a second
+
+
 @dataclass(slots=True, frozen=True)
 class HopEnded:
     tx: int
@@ -144,6 +154,7 @@
     took: int
     closed: bool
     note: int  # 1 a hit, 2 a miss, 3 a miss while another fetches, 0 not told
+    report: Report | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -33,6 +33,7 @@
     kind: int = -1
     hint: float = 0.0  # the weight last listed, where it moves with load
     size: float = 0.0  # the highest such
+    service: float = 0.0  # its time for one, as it tells
     room: float = 1.0  # the part of its ranges that it keeps
     inflight: int = 0
     fails: int = 0  # in a row
--- a/ternquay/wirehost/serve.py
+++ b/ternquay/wirehost/serve.py
@@ -68,7 +68,7 @@
         if tx is None:
             return None
         return m.HopEnded(tx, e["Trial"], ENDS[e["StateCode"]], e["Took"] * US, e["Ended"],
-                          e.get("Detail") or 0)
+                          e.get("Detail") or 0, self.names.report(e.get("Stats")))
 
     def event(self, e: dict[str, Any]) -> m.Event | None:
         name = e["msg"]
