--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -178,6 +178,8 @@
     out_for: int
     out_left: int
     trial: bool
+    size: float = 0.0  # the highest weight that it was listed with
+    room: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/rig/laws/fleet.py
+++ b/ternquay/rig/laws/fleet.py
@@ -131,11 +131,13 @@
             speed = self.random.uniform(*self.day.hosts.speed)
             host = CacheHost(self.day.hosts, index, self._name(index), speed)
             self.hosts.append(host)
-            self.listing.change(0, Entry(host.name, self.places[index], "up", 0), at_once=True)
+            self.listing.change(0, self._entry(host, "up"), at_once=True)
         self._fill()
         for fault in self.faults:
             self._plan(fault)
         self._push(0, "sample", 0)
+        if self.day.list.weights_ms:
+            self._push(0, "weights", 0)
 
     def _name(self, index: int) -> str:
         self.incarnations += 1
@@ -210,8 +212,20 @@
             self._tell(at, host, "up")
 
     def _tell(self, at: int, host: CacheHost, phase: str) -> None:
-        entry = Entry(host.name, self.places[host.index], phase, host.since)
-        self.outcomes.append(ListChanged(self.listing.change(at, entry)))
+        self.outcomes.append(ListChanged(self.listing.change(at, self._entry(host, phase))))
+
+    def _entry(self, host: CacheHost, phase: str) -> Entry:
+        zones, held = self.day.hosts.zones, len(host.jobs) / self.day.hosts.cores
+        return Entry(host.name, self.places[host.index], phase, host.since,
+                     f"zone-{host.index % zones}" if zones > 1 else "here",
+                     1 / (1 + held) if self.day.list.weights_ms else 1.0)
+
+    def _tell_weights(self, at: int) -> None:
+        for host in self.hosts:
+            if host.up and not host.draining:
+                self._tell(at, host, "up")
+        if at < self.day.seconds * SECOND:
+            self._push(at + self.day.list.weights_ms * MS, "weights", 0)
 
     def _down(self, at: int, host: CacheHost) -> None:
         for ticket, job in list(host.jobs.items()):
@@ -346,6 +360,8 @@
                 if fault is not None:
                     self._fault(at, what, self.hosts[index], fault)
                     self._carry(at, self.hosts[index])
+                elif what == "weights":
+                    self._tell_weights(at)
                 else:
                     self._sample(at)
 
--- a/ternquay/rig/laws/listing.py
+++ b/ternquay/rig/laws/listing.py
@@ -16,11 +16,13 @@
     where: str
     phase: str
     since: int
+    zone: str = "here"
+    size: float = 1.0
 
     def told(self, epoch_ms: int) -> dict[str, Any]:
         """In discovery's form; `epoch_ms` is the wall's time at the begin of the play."""
-        return {"id": self.id, "host_port": self.where, "locality": "here", "flavor": "rig", "cell": 0,
-                "phase": self.phase, "size": 1.0, "up_since_ms": epoch_ms + self.since // MS if self.since else 0}
+        return {"id": self.id, "host_port": self.where, "locality": self.zone, "flavor": "rig", "cell": 0,
+                "phase": self.phase, "size": self.size, "up_since_ms": epoch_ms + self.since // MS if self.since else 0}
 
 
 @dataclass(slots=True)
--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -71,6 +71,14 @@
         if p.kind == "journalled":
             told |= {"DedupScope": "all", "Window": p.memory_ms * 1000}
         profiles.append(told)
+    reshaped: dict[str, Any] = {}
+    if number < day.balancers.reshaped:
+        zones = [f"zone-{n}" for n in range(hosts.zones)] if hosts.zones > 1 else ["here"]
+        reshaped = {
+            "Weights": "live" if day.list.weights_ms else "none", "Zones": zones, "Zone": zones[number % len(zones)],
+            "Prices": {"CrossZone": 0.1}, "Goal": {"KeptPromises": 0.4, "TailSlack": 0.01},
+            "LoadReport": {"Source": "answers", "Names": ["err_ps", "tps", "concurrent", "x1"]},
+        }
     return {
         "Balancers": day.balancers.count, "MyNumber": number, "Discovery": "on_request", "Quantum": 5000,
         "Weights": "none", "Zones": ["here"], "Kinds": ["rig"], "Tenants": [],
@@ -81,7 +89,7 @@
         "Invariants": {"ColdShare": hosts.cold_share, "WarmWithin": hosts.warm_within_ms * 1000,
                        "TipMultiple": hosts.tip_multiple, "Fall": hosts.tip_window_ms * 1000,
                        "DrainGrace": rules.drain_grace_ms * 1000, "MustAskIn": 10_000_000},
-    }
+    } | reshaped
 
 
 def configuration(day: Day, number: int, listen: str, discovery: str, known: dict[str, Any],
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -50,6 +50,7 @@
 
 class HostTerms(Terms, frozen=True):
     count: Count = 10
+    zones: Count = 1  # dealt out over them by turns, and so are balancers
     cores: Count = 1
     speed: tuple[Positive, Positive] = (0.9, 1.4)
     queue: Count = 40  # commands that wait or run; beyond that it turns away
@@ -84,6 +85,7 @@
 
 class ListTerms(Terms, frozen=True):
     late_ms: tuple[Millis, Millis] = (300, 1500)
+    weights_ms: Millis = 0  # so often it tells each host's size, lowered by what it holds; 0: sizes alone
 
 
 class RuleTerms(Terms, frozen=True):
@@ -98,6 +100,7 @@
     memory_mb: Annotated[int, msgspec.Meta(ge=64)] = 128
     most_hops: Count = 4
     second_copies: bool = True
+    reshaped: Millis = 0  # so many, from the first, are told what the list's weights are, zones and their price
 
 
 class TenantTerms(Terms, frozen=True):
@@ -192,6 +195,8 @@
     total = sum(p.share for p in day.profiles)
     if abs(total - 1.0) > 1e-6:
         return f"profiles: the shares add up to {total:g}, not 1"
+    if day.balancers.reshaped > day.balancers.count:
+        return f"balancers.reshaped: there are {day.balancers.count} balancers"
     for i, p in enumerate(day.profiles):
         if p.service_goal_ms > p.hard_limit_ms:
             return f"profiles[{i}].service_goal_ms: {p.service_goal_ms} is past the hard limit"
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -58,12 +58,14 @@
 
     def learned(self, now: int) -> m.LearnedHost:
         return m.LearnedHost(
-            self.index, self.took, self.crowd, self.fails, self.out_for, max(0, self.out_until - now), self.trial)
+            self.index, self.took, self.crowd, self.fails, self.out_for, max(0, self.out_until - now), self.trial,
+            self.size, self.room)
 
     def take(self, told: m.LearnedHost, now: int) -> None:
         self.took, self.crowd, self.fails, self.seen = told.took, told.crowd, told.fails, now
         self.out_for, self.trial = told.out_for, told.trial
         self.out_until = now + told.out_left if told.out_left else 0
+        self.size, self.room = max(self.size, told.size), told.room
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,6 +1,8 @@
 """Deployments built otherwise: weights that move with load, reports with answers, zones that are dear to cross."""
 
+import json
 from dataclasses import replace
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -9,6 +11,14 @@
 from ternquay import model as m
 from ternquay.balance import MS, ROOM_DOWN, SECOND, Balancer
 from ternquay.facts import Names, read_start
+from ternquay.handover.notes import learned_read, learned_text
+from ternquay.rig.contender import Contender
+from ternquay.rig.judge import judge
+from ternquay.rig.laws.cachehost import Ask
+from ternquay.rig.laws.fleet import Fleet
+from ternquay.rig.measure import measure
+from ternquay.rig.play import play
+from ternquay.rig.terms import read_day
 from ternquay.wirehost.serve import Instance
 
 from .helper import FACTS, Play, line
@@ -253,3 +263,56 @@
     p.run(700)
     assert len(p.hops[tx]) == 1 and any("roll back" in said for said in p.trace)
     assert p.now < 2000 * SECOND
+
+
+# ---- instances of both shapes before the same cache hosts, as real processes on loopback ----
+
+
+def test_instances_of_both_shapes_keep_the_rules_and_neither_starves_the_other(tmp_path: Path) -> None:
+    """A host is slow for a while and one is replaced. Bounds compare the two with each other, not with a clock."""
+    day = read_day("two-shapes", {"seconds": 5.0, "hosts": {"count": 6}, "clients": {"rate": 120.0}})
+    for seed in (1, 2, 3):  # a play that was late, as on a busy machine, is played again
+        saw = play(day, seed, Contender("now"), tmp_path)
+        if not measure(day, saw, [])["late"]:
+            break
+    told = [json.loads((tmp_path / f"balancer-{n}.json").read_text())["settings"]["Weights"] for n in (0, 1)]
+    assert told == ["live", "none"]
+    assert judge(day, saw) == []
+    assert all(life.code in (None, 0) for life in saw.lives)
+    tries: dict[int, list[bool]] = {0: [], 1: []}
+    for load in saw.loads:
+        for one in load.tries:
+            tries[one.balancer].append(one.answer in ("value", "receipt"))
+    part = [sum(done) / len(done) for done in tries.values()]
+    assert min(len(done) for done in tries.values()) > 100
+    assert min(part) > 0.6 and abs(part[0] - part[1]) < 0.15, part
+    # Every cache host is sent to, whatever the other kind gives up.
+    hops = {hop.host for hop in saw.fleet.hops}
+    assert hops == set(range(6))
+
+
+def test_the_list_of_the_rig_tells_weights_that_move_with_load() -> None:
+    day = read_day("two-shapes")
+    fleet_law = Fleet(day, (), 1, [f"place-{n}" for n in range(day.hosts.count)])
+    for n in range(5):
+        fleet_law.arrive(0, 3, Ask(f"t{n}", 0, False, f"k{n}", "", 100))
+    fleet_law.advance(1)
+    latest = {e.id: e for e in fleet_law.listing.entries}
+    assert sorted(e.size for e in latest.values())[:2] == [pytest.approx(1 / 6), 1.0]
+    assert {e.zone for e in latest.values()} == {"zone-0", "zone-1"}
+
+
+def test_who_takes_over_from_another_process_has_its_homes_at_once() -> None:
+    p, second = fleet(), Play(0, **LIVE)
+    p.run(1000)
+    p.list(*live({0: 20.0}))
+    before = homes(p)
+    second.list(*live({h: 1.0 for h in range(6)}), whole=True)
+    assert {h.weight for h in second.balancer.ready} == {0.25, 0.5, 0.75}
+    names = {h.index: f"host-{h.index}" for h in p.balancer.ready}
+    told = learned_read(learned_text(p.balancer.learned(), names), {name: n for n, name in names.items()})
+    assert told is not None
+    second.feed("", told)
+    second.list(*live({h: 1.0 for h in range(6)}))
+    assert second.balancer.hosts[0].room == pytest.approx(1 - ROOM_DOWN)
+    assert homes(second) == before
