--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -40,7 +40,6 @@
 
 # Admission, the origin, cold cache hosts, the list.
 IN_TIME, IN_TIME_IDLE, OVER_PART, FADE = 0.8, 1.2, 0.3, SECOND
-CALM_JAM, CALM_MOST, CALM_LEAST, CALM_GROW, CALM_AFTER = 3.0, 4.0, 0.25, 0.003, 20
 ORIGIN_START, ORIGIN_LATE, ORIGIN_LEAST = 32.0, 0.5, 2.0  # places of all balancers together
 THROUGH_LATE = 0.8  # a fetch by a cache host has the cache host's own work in it
 HIT_ENOUGH, HIT_STEP = 0.75, 0.05
@@ -82,8 +81,8 @@
 
     def _take(self, e: m.Learned) -> None:
         # The one that is replaced sends on for a moment, so each takes half of the rate and the origin.
-        self.usual, self.calm, self.rate, self.unit_rate = e.usual, e.calm, e.rate, e.unit_rate / 2
-        self.usual_at, self.estimates, self.origin_took = self.now, CALM_AFTER, e.origin_took
+        self.usual, self.rate, self.unit_rate, self.origin_took = e.usual, e.rate, e.unit_rate / 2, e.origin_took
+        self.usual_at, self.estimates = self.now, SAMPLE
         self.origin_limit = max(self.origin_least, e.origin_limit / 2)
         # What it brought to the cache hosts lies there, though we have seen none of it.
         self.hit_part, self.hits = max(self.hit_part, e.hits), e.hits
@@ -237,9 +236,6 @@
         self.near_part, self.strained = max(0.0, min(1.0, self.near_part + step * passed / TICK)), False
         if self.start.gone_is_advice and any(h.unlisted for h in self.hosts.values()):
             self._settle()
-        # Not from the first few answers: one quick one would make all that follow a jam.
-        if self.estimates >= CALM_AFTER:
-            self.calm = min(self.usual, self.calm + CALM_GROW * self.usual * passed / TICK)
         # Often enough for some ten transactions: more often costs CPU.
         self.wakes.add(self.now + max(TICK, min(TICK_MOST, int(10 * SECOND / max(1.0, self.rate)))), -1)
 
@@ -397,12 +393,7 @@
 
     def _in_time(self, tx: Tx, host: CacheHost) -> bool:
         # With nothing of ours there the estimate is an old guess, and one more transaction is cheap.
-        left = tx.goal - self.now
-        most = left * (IN_TIME if host.inflight or tx.over else IN_TIME_IDLE)
-        # Against a jam that outlives its cause, as hosts that hold too many do less: until it is over queues
-        # are kept to a few times what hops take when all is calm, if that is over a part of the goal.
-        if self.usual > CALM_JAM * self.calm and self.now - self.usual_at < FADE:
-            most = min(most, max(CALM_LEAST * left, CALM_MOST * self.calm))
+        most = (tx.goal - self.now) * (IN_TIME if host.inflight or tx.over else IN_TIME_IDLE)
         return self._expected(host) <= most * (OVER_PART if tx.over else 1.0)
 
     def _expected(self, host: CacheHost) -> float:
@@ -709,7 +700,7 @@
         host = hop.host
         if not host.seen:
             host.took = self.usual or float(took)
-        # Against a jam seen in ten answers by chance: where hops are many, as many more make up a mean.
+        # Against a crowd seen in ten answers by chance: where hops are many, as many more make up a mean.
         pace = min(1.0, max(PACE_LEAST, 3 * self._spacing() / SECOND)) if self.rate else 1.0
         step = 0.2 * pace if self.now - host.seen < FADE else 0.5
         self.usual_at, self.estimates = self.now, self.estimates + 1
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -192,7 +192,7 @@
         self.changed: dict[int, None] = {}
         # What was measured of all.
         self.inflight, self.warm_sent, self.unit_rate, self.failing = 0, 0, 0.0, 0.0
-        self.usual, self.usual_at, self.rate, self.arrived, self.calm = 0.0, 0, 0.0, 0, 1e18
+        self.usual, self.usual_at, self.rate, self.arrived = 0.0, 0, 0.0, 0
         # The origin: who waits for a place, what is out, where keys were last held.
         self.origin_queue: deque[Tx] = deque()
         self.fetch_at = self.fetch_newest = self.fetch_judged = self.fetch_out = self.fetch_fails = 0
@@ -205,5 +205,5 @@
     def learned(self) -> m.Learned:
         """What another process of this balancer takes over from this one."""
         hosts = tuple(h.learned(self.now) for h in self.hosts.values() if h.seen)
-        return m.Learned(self.usual, self.calm, self.rate, self.unit_rate, self.hits, self.origin_limit,
-                         self.origin_took, hosts)
+        return m.Learned(
+            self.usual, self.rate, self.unit_rate, self.hits, self.origin_limit, self.origin_took, hosts)
