--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -24,7 +24,7 @@
 SPREAD = 1.5  # a hot key's places, as a multiple of the cache hosts its share would fill
 SAMPLE = 128  # accesses before a share is believed
 OVER_MULTIPLE, OVER_FLOOR = 2.0, 2.0
-CROSS_DEAR, NEAR_UP, NEAR_DOWN = 0.05, 0.02, 0.05
+CROSS_DEAR, NEAR_UP, NEAR_DOWN = 0.05, 0.01, 0.05
 HELD_FLOOR, HELD_MOST, ROOM_UP, ROOM_DOWN, ROOM_LEAST, SIZE_SPAN = 2.0, 1000.0, 0.05, 0.15, 0.2, 16.0
 PLACES = 4  # drawn among the next-best groups for a spill
 
