--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -181,6 +181,15 @@
     p.list(*live({}))
     assert homes(p) == before
     assert not any(h.fails or h.out_until or h.trial for h in p.balancer.ready)
+    p.trace.clear()
+    for n, row in enumerate(rows):
+        tx = p.arrive(f"k{n}")
+        said = f"hop {tx}.0 ends DONE, report {row}"
+        p.feed(said, m.HopEnded(tx, 0, m.End.DONE, 10 * MS, True, 1, names.report(row)))
+        p.run(300)
+    p.list(*live({2: 30.0}))
+    p.trace.append(f"rooms {[round(h.room, 2) for h in p.balancer.ready]}")
+    p.matches("reports")
 
 
 def test_the_adapter_hands_on_weights_and_reports() -> None:
