--- /dev/null
+++ b/tests/test_agreement_walk.py
@@ -0,0 +1,172 @@
+"""The agreement's core walked through messages, losses, crashes, stops and time-outs; wrong cores are caught."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from ternquay.consensus.core import Core
+from ternquay.consensus.messages import Append
+from ternquay.rig.walk import MS, Broken, World, explored, walked
+
+
+@pytest.mark.parametrize(("members", "go_on"), [(3, False), (3, True), (5, False), (2, False)])
+def test_random_walks_find_nothing_broken(members: int, go_on: bool) -> None:
+    decided = dropped = crashes = 0
+    for seed in range(12):
+        counts = walked(seed, 3000, members=members, go_on=go_on)
+        decided, dropped = decided + counts["decided"], dropped + counts["dropped"]
+        crashes += counts["crashes"]
+    assert decided > 50 and dropped > 10 and crashes > 100  # else they walked past what they are here for
+
+
+def test_all_orders_around_a_change_to_a_depth() -> None:
+    assert explored(4) > 2000  # and 7 s; deeper ones by hand, docs/agreement.md
+
+
+class VoteNotStored(Core):
+    def _write(self, *terms: Any, **more: Any) -> int:
+        number = super()._write(*terms, **more)
+        self.writes[-1] = replace(self.writes[-1], voted="")
+        return number
+
+
+class CountsOlderTerms(Core):
+    def _counts(self, end: int) -> bool:
+        return True
+
+
+class LeadsAtOnce(Core):
+    """Grants leases before an entry of its own term is committed."""
+
+    def settled(self) -> bool:
+        return self.leads()
+
+
+class LeaseFromTheAnswer(Core):
+    def _leased(self, message: Append, now: int) -> int:
+        return now + self.figures.lease
+
+
+class AdoptsLater(Core):
+    def _adopted(self, message: Append) -> bool:
+        return True
+
+
+class HoldsNothing(Core):
+    def _holds(self, name: str, at: int) -> bool:
+        return True
+
+    def _held(self, at: int) -> bool:
+        return True
+
+
+class NobodyIsWaitedFor(Core):
+    """Takes a silent member to have lapsed at once."""
+
+    def lapsed(self, name: str, now: int) -> bool:
+        known = self.progress.get(name)
+        return known is None or now - known.round > 2 * self.figures.every
+
+
+class NewLeaderForgets(Core):
+    """A new leader takes nobody to have a lease by the one before."""
+
+    def lapsed(self, name: str, now: int) -> bool:
+        return now >= self.granted.get(name, 0) + self.figures.lapse
+
+
+WRONG = [LeadsAtOnce, LeaseFromTheAnswer, AdoptsLater, HoldsNothing,
+         NobodyIsWaitedFor, NewLeaderForgets]
+
+
+def led(world: World, number: int) -> Callable[[], bool]:
+    core = world.nodes[number].core
+    return lambda: core is not None and core.leads()
+
+
+def figure_eight(make: Callable[..., Core]) -> None:
+    """An entry of an older term is at a majority, and gone again when another leader's is newer (Raft, figure 8)."""
+    world = World(1, core=make)
+    zero, one, two = world.nodes
+    for node in (one, two):
+        node.core.tick = lambda now: None  # type: ignore[union-attr, method-assign]  # neither calls
+    world.among({0, 1, 2}, lambda: bool(zero.core and zero.core.settled() and one.core and one.core.commit
+                                        and two.core and two.core.commit))
+    world.flight.clear()
+    world.propose(b"1")
+    world.sync(zero)
+    world.flight.clear()
+    world.crash(zero)
+    world.crash(one)
+    world.start(one)
+    world.among({1, 2}, led(world, 1))
+    world.sync(one)
+    world.crash(one)
+    world.start(zero)
+    assert zero.core is not None and two.core is not None
+    zero.core.entries_most = 1
+    last = zero.disk.log.last
+    world.among({0, 2}, lambda: bool(two.disk.log.last == last and zero.core and zero.core.leads()
+                                     and zero.core.progress["m2"].saved >= last))
+    world.crash(zero)
+    world.flight.clear()
+    world.start(one)
+    world.among({1, 2}, lambda: bool(one.core and one.core.settled()))
+    world.settle()
+
+
+def two_votes(make: Callable[..., Core]) -> None:
+    """A voter dies after its vote, and is asked again in that term by another."""
+    world = World(1, core=make)
+    first, second, voter = world.nodes
+    world.time += 600 * MS
+    for node in (first, second):
+        world.tick(node)
+    for wanted in (False, True):  # early calls and their answers, then the calls
+        while any(to == 2 for to, _, _ in world.flight):
+            world.deliver(next(n for n, (to, _, _) in enumerate(world.flight) if to == 2))
+        world.flight = [one for one in world.flight if one[1] == voter.me]
+        while world.flight:
+            world.deliver(0)
+        for node in world.nodes:
+            while node.queue:
+                world.sync(node)
+        if not wanted:
+            late = [one for one in world.flight if one[1] == second.me and one[0] == 2]
+            world.flight = [one for one in world.flight if one[1] == first.me and one[0] == 2]
+    world.deliver(0)
+    world.flight.clear()
+    assert first.core is not None and first.core.leads()
+    world.check()
+    world.crash(voter)
+    world.start(voter)
+    world.time += 310 * MS
+    world.flight = late
+    world.deliver(0)
+    while voter.queue:
+        world.sync(voter)
+    while world.flight:
+        world.deliver(0)
+    world.check()
+
+
+@pytest.mark.parametrize(("case", "wrong"), [(figure_eight, CountsOlderTerms), (two_votes, VoteNotStored)])
+def test_a_wrong_core_fails_a_case_that_the_core_stands(case: Callable[..., None], wrong: Callable[..., Core]) -> None:
+    case(Core)
+    with pytest.raises(Broken):
+        case(wrong)
+
+
+@pytest.mark.parametrize("wrong", WRONG, ids=lambda wrong: wrong.__name__)
+def test_a_wrong_core_is_caught(wrong: Callable[..., Core]) -> None:
+    with pytest.raises(Broken):
+        for seed in range(300):
+            walked(seed, 4000, core=wrong)
+
+
+def test_a_clock_slower_than_the_bound_is_why_the_bound_is_stated() -> None:
+    with pytest.raises(Broken, match="takes by"):
+        for seed in range(300):
+            walked(seed, 4000, drift=0.4)
