--- a/ternquay/consensus/core.py
+++ b/ternquay/consensus/core.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from random import Random
 
+from ternquay.consensus.fate import NotNow
 from ternquay.consensus.log import Log
 from ternquay.consensus.messages import (
     TEXT_MOST,
@@ -40,14 +41,6 @@
 NEAR = 16  # entries that a disk may lack which is to be taken in
 
 
-class NotNow(Exception):
-    """Nothing can be proposed here; `leader` is who might, "" where nobody is known."""
-
-    def __init__(self, why: str, leader: str = "") -> None:
-        super().__init__(why)
-        self.why, self.leader = why, leader
-
-
 class Role(Enum):
     FOLLOWS = "follows"
     CALLS = "calls"  # for votes
@@ -74,6 +67,11 @@
         """After a grant was sent: its holder acts by it no more."""
         return int(self.lease * (1 + self.bound))
 
+    @property
+    def patience(self) -> int:
+        """How long a proposal may wait for a member that neither answers nor lapses."""
+        return 2 * self.lease
+
     @property
     def stays(self) -> int:
         """After a round was sent that a majority answered: nobody else leads yet."""
@@ -134,11 +132,11 @@
     round: int = 0
     boot: int = 0
     asked: int = 0
+    granted: int = 0  # the call that was last answered by a lease
     judged: int = 0
     unfit: Unfitness | None = None
     holds: int = 0
     part: int = 0
-    sent: int = 0
 
 
 class Core:
@@ -169,6 +167,7 @@
         self.won_at = self.round_at = self.sent_at = 0
         self.first_own = 0  # the index of a leader's first entry
         self.hold = 0
+        self.open = self.open_since = 0
         self.leaving: set[str] = set()  # get no lease any more, and go out when they have lapsed
         self.learners: dict[str, str] = {}  # names with the disk that they have now, as they told it
         self.snapshot: Snapshot | None = None
@@ -368,6 +367,15 @@
         self.leaving.add(name)
         self._change_members(now)
 
+    def welcome(self, name: str, now: int) -> None:
+        """Lets one that was taken out come in again by itself. Raises NotNow; ValueError for who isn't out."""
+        roster, at = self.log.roster()
+        if not self.settled() or at > self.commit:
+            raise NotNow("the members are being changed" if self.leads() else "another one leads", self.leader)
+        if name not in roster.out:
+            raise ValueError(f"{name} was not taken out")
+        self._to(Roster(roster.members, tuple(one for one in roster.out if one != name)), now)
+
     def _change_members(self, now: int) -> None:
         """One member more or one less, once the change before that is committed."""
         roster, at = self.log.roster()
@@ -410,12 +418,11 @@
 
     def _round(self, now: int) -> None:
         self.sent_at = now
-        for name in self._targets():
+        for name in sorted(self._targets()):  # in one order: a walk that finds something can be walked again
             self._send(name, now)
 
     def _send(self, name: str, now: int) -> None:
         known = self.progress.setdefault(name, Progress(next=self.log.last + 1))
-        known.sent = now
         if known.next <= self.log.base:
             self._send_part(name, known, now)
             return
@@ -425,12 +432,13 @@
         boot = asked = 0
         if self._grants(name, known, now):
             boot, asked = known.boot, known.asked
-            self.granted[name] = now
+            known.granted, self.granted[name] = asked, now
         self.out.append((name, Append(self.term, prev, self.log.term(prev), entries, self.commit, self.hold, now,
                                       boot, asked)))
 
     def _grants(self, name: str, known: Progress, now: int) -> bool:
-        if not known.asked or not self.settled() or now - self.round_at >= self.figures.stays:
+        # One call, one grant: else a member that calls no more would never be taken to have lapsed.
+        if known.asked <= known.granted or not self.settled() or now - self.round_at >= self.figures.stays:
             return False
         return name not in self.leaving and Member(name, known.disk) in self.roster().members
 
@@ -458,6 +466,7 @@
             # Another process, or another disk: nothing that the one before said binds it.
             known.saved = known.have = known.judged = known.holds = known.part = 0
             known.boot, known.disk, known.unfit = ack.boot, sender.disk, None
+            known.asked = known.granted = 0
         before = known.have, known.part, known.next
         known.asked, known.round = max(known.asked, ack.asked), max(known.round, ack.round)
         if ack.agreed:
@@ -514,8 +523,9 @@
         at = self.log.undecided()
         if not at or at > self.commit or not self.settled():
             return
-        waits = {*self.roster().names(), *(name for name in self.granted if not self.lapsed(name, now))}
-        waits -= {self.me.name}
+        waits = {*self.roster().names()} - {self.me.name}
+        if not self.figures.go_on:  # there who was taken out is out by the operators' word
+            waits |= {name for name in self.granted if not self.lapsed(name, now)}
         mine = self.verdict[1] if self.verdict[0] == at else None
         found = [replace_name(known.unfit, name) for name in sorted(waits)
                  if (known := self.progress.get(name)) and known.judged == at and known.unfit is not None]
@@ -526,7 +536,15 @@
             return
         if self.verdict[0] != at:
             return
-        missing = [name for name in waits if not self._said(name, at) and not self.lapsed(name, now)]
+        if self.open != at:
+            self.open, self.open_since = at, now
+        missing = [name for name in sorted(waits) if not self._said(name, at) and not self.lapsed(name, now)]
+        late = [name for name in sorted(waits) if not self._holds(name, at) and not self.lapsed(name, now)]
+        if now - self.open_since > self.figures.patience and late:
+            # It can't be decided without them; the changes behind it need not wait for that.
+            why = Unfitness((missing or late)[0], "", "is out of reach")
+            self._append(Entry(self.term, Kind.DROP, encoded(why), at), now)
+            return
         if missing:
             return
         if self.hold != at:
--- a/ternquay/hosted/admin.py
+++ b/ternquay/hosted/admin.py
@@ -25,9 +25,10 @@
 DIFFERS = 7
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="The administration API of a hosted service.")
 tenants, servers, limits, profiles, keys = (typer.Typer(no_args_is_help=True) for _ in range(5))
+fleet = typer.Typer()
 for name, group, text in (("tenants", tenants, "Tenants."), ("servers", servers, "A tenant's cache hosts."),
                           ("limits", limits, "A tenant's limits."), ("profiles", profiles, "A tenant's profiles."),
-                          ("keys", keys, "A tenant's keys.")):
+                          ("keys", keys, "A tenant's keys."), ("fleet", fleet, "The fleet of a member.")):
     app.add_typer(group, name=name, help=text)
 
 Tenant = Annotated[str, typer.Argument(help="The tenant's name.")]
@@ -347,6 +348,35 @@
     show(found, [{"tenant": name, **use} for name, use in found["tenants"].items()])
 
 
+# ---- the fleet ----
+
+
+@fleet.callback(invoke_without_command=True)
+def show_fleet(context: typer.Context) -> None:
+    """Members, who leads, the version in force at each, who takes nothing and why."""
+    if context.invoked_subcommand is None:
+        found = get("/v1/fleet")
+        show(found, found["members"])
+        if not Chosen.as_json:
+            typer.echo(f"{found['fleet']} as {found['me']} sees it: led by {found['leader'] or 'nobody'}, "
+                       f"term {found['term']}, version {found['version']}, without a majority: {found['alone']}"
+                       + (f", a change waits for {', '.join(found['waits_for'])}" if found["waits_for"] else ""))
+
+
+@fleet.command("leave")
+def leave_fleet(name: Annotated[str, typer.Argument(help="The member's name.")]) -> None:
+    """Takes a member out, for good: nobody waits for it any more, and it takes nothing."""
+    with told_in_a_line():
+        show(caller().call("DELETE", f"/v1/fleet/{name}").body)
+
+
+@fleet.command("join")
+def join_fleet(name: Annotated[str, typer.Argument(help="The member's name.")]) -> None:
+    """Lets one that was taken out come in again by itself."""
+    with told_in_a_line():
+        show(caller().call("PUT", f"/v1/fleet/{name}").body)
+
+
 # ---- files ----
 
 
--- a/ternquay/hosted/api.py
+++ b/ternquay/hosted/api.py
@@ -94,7 +94,7 @@
           409: "Conflict", 411: "Length required", 412: "Precondition failed", 413: "Too large", 415: "No JSON",
           431: "Line too long",
           422: "Unfit", 428: "Precondition required", 429: "Too many calls", 500: "Fault",
-          503: "Not now", 507: "Trouble with the disk"}
+          503: "Not now", 504: "Outcome unknown", 507: "Trouble with the disk"}
 
 
 def problem(status: int, detail: str, at: str = "", headers: Mapping[str, str] | None = None) -> Reply:
@@ -159,6 +159,9 @@
           query=("after", "limit", "wait_s")),
     Route("GET", "/v1/audit", "list_audit", OPERATORS, "Changes and denied calls", query=("after", "limit")),
     Route("GET", "/v1/process", "get_process", OPERATORS, "What the process and each tenant use"),
+    Route("GET", "/v1/fleet", "get_fleet", OPERATORS, "The fleet that the process is a member of, as it sees it"),
+    Route("DELETE", "/v1/fleet/{member}", "leave_fleet", OPERATORS, "Takes a member out of the fleet, for good", 202),
+    Route("PUT", "/v1/fleet/{member}", "join_fleet", OPERATORS, "Lets a member in again that was taken out", 202),
     Route("GET", "/v1/openapi.json", "get_openapi", READERS, "This API's description"),
 )
 
@@ -315,6 +318,15 @@
     def _get_process(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
         return Look("process")
 
+    def _get_fleet(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
+        return Look("fleet")
+
+    def _leave_fleet(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
+        return Look("leave", tenant=call.path.rpartition("/")[2])
+
+    def _join_fleet(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
+        return Look("join", tenant=call.path.rpartition("/")[2])
+
     def _get_openapi(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
         from ternquay.hosted.openapi import description
         return Reply(200, description())
--- a/ternquay/hosted/caller.py
+++ b/ternquay/hosted/caller.py
@@ -14,7 +14,7 @@
 # What scripts may tell apart.
 BAD, DENIED, NOT_THERE, CONFLICT, NOT_NOW = 2, 3, 4, 5, 6
 CODES = {400: BAD, 401: DENIED, 403: DENIED, 404: NOT_THERE, 405: BAD, 409: CONFLICT, 412: CONFLICT, 413: BAD,
-         415: BAD, 422: BAD, 428: CONFLICT, 429: NOT_NOW, 500: NOT_NOW, 503: NOT_NOW, 507: NOT_NOW}
+         415: BAD, 422: BAD, 428: CONFLICT, 429: NOT_NOW, 500: NOT_NOW, 503: NOT_NOW, 504: NOT_NOW, 507: NOT_NOW}
 
 
 class CallFailed(Exception):
@@ -88,7 +88,7 @@
                     raise CallFailed(f"{self.target.url}: {fault or type(fault).__name__}", NOT_NOW) from fault
                 time.sleep(PAUSE)
                 continue
-            if status in (429, 503) and not last:
+            if status in (429, 503, 504) and not last:
                 time.sleep(min(5.0, float(told.get("retry-after", 1))))
                 continue
             return _read(status, found, told)
--- a/ternquay/hosted/changes.py
+++ b/ternquay/hosted/changes.py
@@ -17,6 +17,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from ternquay.consensus.fate import NotNow, Nowhere, Unknown
 from ternquay.hosted.api import Api, Call, Look, Proposal, Reply, problem, tag
 from ternquay.hosted.registry import Registry, Remove
 from ternquay.hosted.store import Answered, Commit, Logged, Noted, Store, StoreError, StoreUnsure
@@ -73,26 +74,50 @@
         self.notes: dict[tuple[str, str, str, int, str], Noted] = {}
         self.noting = self.ended = False
         self.unsure = False  # the store may hold one more change than is in force
+        self.fleet: Any = None
+
+    def join(self, fleet: Any) -> None:
+        """Changes are the fleet's from now on: whoever leads it carries them out, one after the other."""
+        self.fleet, fleet.carry_out, fleet.news = fleet, self.call, self._news
 
     # ---- calls ----
 
     def call(self, call: Call) -> "Deferred[Reply]":
         """Answers a call; denied ones go to the audit log."""
-        outcome = self.api.handle(call, self.applier.registry, self.clock())
+        outcome = self.api.handle(call, self.registry, self.clock())
         if isinstance(outcome, Look):
+            if outcome.what in ("leave", "join") and self.fleet is not None and not self.fleet.leads():
+                return self._passed_on(call)
             return self._guarded(self._looked, outcome)
         if isinstance(outcome, Reply):
             if outcome.status in (401, 403):
                 self.note(call, outcome)
+            if self.fleet is not None and outcome.status in REPEATED and call.method != "GET" and \
+                    not self.fleet.leads():
+                return self._passed_on(call)  # this member may be behind
             # A repeated call finds things as it left them, and is to be answered as it was then.
             if outcome.status not in REPEATED or "idempotency-key" not in call.headers:
                 return succeed(outcome)
+        if self.fleet is not None and not self.fleet.leads():
+            return self._passed_on(call)
         if len(self.waiting) >= WAITING_MOST:
             return succeed(problem(503, "too many changes wait", headers={"retry-after": "1"}))
         return self._queued(call)
 
+    @property
+    def registry(self) -> Registry:
+        """What is in force; a member of a fleet may be without a part of it, and takes nothing then."""
+        found: Registry = self.fleet.agreed if self.fleet is not None else self.applier.registry
+        return found
+
+    def _passed_on(self, call: Call) -> "Deferred[Reply]":
+        reply: Deferred[Reply] = self.fleet.pass_on(call)
+        return reply
+
     def remove(self, name: str) -> "Deferred[Reply]":
-        """A tenant that was ending has nothing open any more."""
+        """A tenant that was ending has nothing open any more; in a fleet whoever leads sees to it."""
+        if self.fleet is not None and not self.fleet.leads():
+            return succeed(problem(503, "another member leads"))
         return self._queued(Remove(name))
 
     def _queued(self, what: Call | Remove) -> "Deferred[Reply]":
@@ -130,6 +155,13 @@
             if failure.check(StoreError):
                 logger.bind(cause=str(failure.value)).error("the store takes no changes")
                 return problem(507, "the change could not be stored, and was not made")
+            if failure.check(NotNow):
+                return problem(503, failure.value.why, headers={"retry-after": "1"})
+            if failure.check(Unknown):
+                return problem(504, "whether the change was made isn't known yet; ask again, with the key it had")
+            if failure.check(Nowhere):
+                told = failure.value
+                return problem(422, f"{told.member}: {told.why}; the change is nowhere", told.field)
             if failure.check(Unfit):
                 return problem(422, failure.value.why, failure.value.field)
             logger.error("a call failed: {}", failure.getTraceback())
@@ -145,7 +177,8 @@
         if self.ended:
             return ENDS
         yield from self._caught_up()
-        outcome = self.api.handle(call, self.applier.registry, now)  # as things stand by now
+        there = self.registry
+        outcome = self.api.handle(call, there, now)  # as things stand by now
         key = call.headers.get("idempotency-key", "")
         if isinstance(outcome, Reply) and outcome.status in (401, 403):
             self.note(call, outcome)  # its key was taken away while it waited
@@ -155,7 +188,9 @@
                 return again
         if not isinstance(outcome, Proposal):
             return outcome
-        who, before = str(outcome.who), self.applier.registry
+        if self.registry is not there:
+            raise NotNow("another change came first")
+        who, before = str(outcome.who), self.registry
         after = before.changed(outcome.change)
         reply = outcome.reply(after)
         answered = None
@@ -170,6 +205,9 @@
 
     def _made(self, after: Registry, tenant: str, commit: Commit) -> Any:
         """Stored first, then applied; what could stand against it is found out before."""
+        if self.fleet is not None:
+            yield self.fleet.propose(commit)
+            return
         prepared = self.applier.prepare(after, tenant)
         try:
             yield self.stored.do(self.stored.store.commit, commit)
@@ -193,7 +231,7 @@
         """What is stored goes before what is in force: a change of which nothing was known may be there."""
         if not self.unsure:
             return
-        there, here = (yield self.stored.do(self.stored.store.registry)), self.applier.registry
+        there, here = (yield self.stored.do(self.stored.store.registry)), self.registry
         for name in sorted({*there.tenants, *here.tenants}):
             if there.tenants.get(name) != here.tenants.get(name):
                 self._apply(there, name, self.applier.prepare(there, name))
@@ -202,9 +240,9 @@
     @inlineCallbacks
     def _removed(self, change: Remove) -> Any:
         yield from self._caught_up()
-        if change.name not in self.applier.registry.tenants:
+        if change.name not in self.registry.tenants:
             return Reply(200, {})
-        after = self.applier.registry.changed(change)
+        after = self.registry.changed(change)
         logged = Logged(after.version, self.clock(), SERVICE, change.name, "gone", b"{}")
         yield from self._made(after, change.name, Commit(logged, None))
         return Reply(200, {})
@@ -214,8 +252,10 @@
         """The answer that the call had before, if it had one."""
         if len(key) > KEY_MOST or not key.isascii() or not key.isprintable():
             return problem(400, f"up to {KEY_MOST} printable characters are wanted", "Idempotency-Key")
-        who = str(self.api.identified(call, self.applier.registry, self.clock()))
-        found: Answered | None = yield self.stored.do(self.stored.store.answered, who, _digest(key))
+        who = str(self.api.identified(call, self.registry, self.clock()))
+        found: Answered | None = self.fleet.answered(who, _digest(key)) if self.fleet is not None else None
+        if found is None:
+            found = yield self.stored.do(self.stored.store.answered, who, _digest(key))
         if found is None:
             return None
         if found.asked != _asked(call):
@@ -227,6 +267,11 @@
 
     @inlineCallbacks
     def _looked(self, look: Look) -> Any:
+        if look.what in ("fleet", "leave", "join"):
+            if self.fleet is None:
+                return problem(404, "this process is a member of no fleet")
+            return Reply(200, self.fleet.status()) if look.what == "fleet" else (
+                self.fleet.leave(look.tenant) if look.what == "leave" else self.fleet.join(look.tenant))
         if look.what == "process":
             return Reply(200, self.applier.process())
         if look.what == "audit":
@@ -243,7 +288,7 @@
             yield self._new(left)
         lines = [{"version": one.version, "at_ms": one.at // 1_000_000, "who": one.who, "tenant": one.tenant,
                   "kind": one.kind, "detail": orjson.loads(one.body)} for one in changes]
-        return Reply(200, {"changes": lines, "version": self.applier.registry.version})
+        return Reply(200, {"changes": lines, "version": self.registry.version})
 
     def _new(self, most: int) -> "Deferred[None]":
         """Until something was changed, or so long."""
--- /dev/null
+++ b/ternquay/hosted/fleet.py
@@ -0,0 +1,610 @@
+"""One member of a fleet as it runs: the agreement's core with links, disk and tenants, and what it tells of itself.
+
+    fleet = Fleet(reactor, service, host, stored, life)
+    fleet.begin()                          # raises Unfit where the members' port can't be bound
+    fleet.propose(commit)                  # -> a Deferred: the change is in force, or fails as Nowhere, Unknown, NotNow
+    fleet.wait(tenant)                     # nought, or how long a new tx of that tenant is told to wait
+
+docs/agreement.md says why each may do what when. All times here are of CLOCK_BOOTTIME: no setting of the date moves it,
+and it goes on while the machine sleeps, so that who wakes up knows that its lease is over.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+import orjson
+from loguru import logger
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.error import CannotListenError
+
+from ternquay.consensus.core import Core, Figures, Outcome, Write
+from ternquay.consensus.fate import NotNow, Nowhere, Unknown
+from ternquay.consensus.founding import Founding
+from ternquay.consensus.messages import Member, Unfitness, decoded, encoded
+from ternquay.hosted.api import Call, Reply, problem
+from ternquay.hosted.fleet_store import Applied, FleetStore, Forgot, Founded, Job, Life, carried_of
+from ternquay.hosted.registry import Entry, Registry
+from ternquay.hosted.service import Fellows
+from ternquay.hosted.store import Answered, Commit, Logged, Noted, StoreError, kept, unkept
+from ternquay.hosted.tenant import Unfit
+from ternquay.peers.frames import VERSION, Dropped, Frame, Marks, What, opened, sealed
+from ternquay.peers.links import Links
+from ternquay.peers.members import Members
+
+SECOND, MS = 1_000_000_000, 1_000_000
+PING, SUSPECT = 0.25, 1500 * MS
+FENCED, HELD = 250 * MS, 20 * MS  # what comes is told to come again after about so long
+PATIENCE, PASSED_MOST = 2.0, 64  # seconds, and three leases
+DISK_AGAIN, ADOPT_AGAIN = 1.0, 0.5
+UNKNOWN = problem(504, "whether the change was made isn't known yet; ask again, with the key that the call had")
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A commit as it goes through the log; of what is asked for again the answer goes with it."""
+
+    tenant: str
+    version: int
+    at: int
+    who: str
+    kind: str
+    detail: bytes
+    entry: tuple[bytes, int, int] | None  # None where the tenant is no more
+    answered: tuple[str, bytes, bytes, int, bytes] | None
+    noted: tuple[str, str, str, int, str] | None
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+    founded: Founded | None
+    why_not: str  # it takes nothing
+    trouble: str  # with its disk
+    leader: str
+
+
+class Passed(msgspec.Struct, frozen=True, array_like=True):
+    """A call that is passed on to who leads, or its reply."""
+
+    id: int
+    call: tuple[str, str, dict[str, str], dict[str, str], bytes, str] | None = None
+    reply: tuple[int, bytes, dict[str, str]] | None = None
+
+
+_change = msgspec.msgpack.Decoder(Change)
+_ping = msgspec.msgpack.Decoder(Ping)
+_passed = msgspec.msgpack.Decoder(Passed)
+
+
+def change_of(commit: Commit) -> Change:
+    one, answered, noted = commit.logged, commit.answered, commit.noted
+    return Change(
+        one.tenant, one.version, one.at, one.who, one.kind, one.body,
+        (kept(commit.entry.tenant), commit.entry.version, commit.entry.incarnation) if commit.entry else None,
+        (answered.who, answered.key, answered.asked, answered.status, answered.body) if answered else None,
+        (noted.who, noted.peer, noted.call, noted.status, noted.why) if noted else None)
+
+
+def commit_of(told: Change) -> Commit:
+    """Raises StoreError."""
+    entry = Entry(unkept(told.entry[0]), *told.entry[1:]) if told.entry else None
+    answered = None
+    if told.answered is not None:
+        who, key, asked, status, body = told.answered
+        answered = Answered(who, key, asked, status, told.version, body)
+    return Commit(Logged(told.version, told.at, told.who, told.tenant, told.kind, told.detail), entry, answered,
+                  Noted(told.at, *told.noted) if told.noted else None)
+
+
+def clock() -> int:
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+class Fleet:
+    def __init__(self, reactor: Any, fellows: Fellows, host: Any, stored: Any, store: FleetStore, life: Life,
+                 clock: Callable[[], int] = clock) -> None:
+        self.reactor, self.fellows, self.host, self.stored, self.store = reactor, fellows, host, stored, store
+        self.clock, self.random = clock, Random()
+        self.figures = Figures.of(fellows.lease, fellows.go_on)
+        self.patience = PATIENCE + 3 * fellows.lease / SECOND
+        others = {name: place for name, place in fellows.places.items() if name != fellows.me}
+        self.members = Members(tuple(others), SUSPECT)
+        self.links = Links(reactor, (fellows.listen.host, fellows.listen.port),
+                           {name: (place.host, place.port) for name, place in others.items()}, self._taken, self.random)
+        self.jobs: deque[Job] = deque()
+        self.writing = False
+        self.trouble = ""
+        self.marks = Marks()
+        self.begun = False
+        self.pings: dict[str, Ping] = {}
+        self.held: frozenset[str] = frozenset()
+        self.prepared: dict[int, tuple[str, Any]] = {}
+        self.agreed: Registry = host.registry  # what is in force; the host may be behind, and takes nothing then
+        self.unfit = ""  # why what is in force can't be had here
+        self.waiters: dict[tuple[int, int], Deferred[None]] = {}
+        self.unsaved: dict[tuple[str, bytes], Answered] = {}  # answers that are not on disk yet
+        self.passed: dict[int, Deferred[Reply]] = {}
+        self.carry_out: Callable[[Call], Deferred[Reply]] = lambda call: succeed(UNKNOWN)
+        self.news: Callable[[], None] = lambda: None
+        self.ended = False
+        self._live(life)
+
+    def _live(self, life: Life) -> None:
+        now = self.clock()
+        self.life, self.founded = life, life.founded
+        self.me = Member(self.fellows.me, life.disk)
+        self.core = Core(self.me, life.kept, self.figures, self.random, life.boot, now)
+        self.marks = Marks(life.kept.term, bool(life.kept.voted), life.kept.log.last_term, life.kept.log.last)
+        empty = self.founded is None and not life.was_of_fleet and not self.core.log.last
+        self.founding = Founding(self.me, tuple(self.fellows.places), self.agreed.version) if empty else None
+        self._hold()
+
+    # ---- beginning and end ----
+
+    def begin(self) -> None:
+        """Raises Unfit."""
+        try:
+            self.links.begin()
+        except CannotListenError as fault:
+            raise Unfit("peers.members", f"{self.fellows.me}: can't be bound: {fault.socketError}") from fault
+        self.begun = True
+        self._found()
+        self._tick()
+        self._ping()
+
+    def end(self) -> None:
+        self.ended = True
+        self.links.end()
+        for waiting in list(self.waiters.values()):
+            waiting.errback(Unknown())
+        for reply in list(self.passed.values()):
+            reply.callback(UNKNOWN)
+
+    def _tick(self) -> None:
+        if not self.ended:
+            self.reactor.callLater(self.figures.every / 3 / SECOND, self._tick)
+            self.core.tick(self.clock())
+            self._drive()
+
+    # ---- whether a tx may be taken ----
+
+    def wait(self, tenant: str) -> int:
+        if self.unfit or not self.core.may(self.clock()):
+            return FENCED
+        return HELD if tenant in self.held else 0
+
+    def why_not(self) -> str:
+        """Why nothing is taken, "" if it is."""
+        if self.founding is not None:
+            missing = ", ".join(self.founding.missing())
+            return self.founding.conflict or f"the fleet isn't founded: {missing} not heard yet"
+        return self.unfit or self.core.why_not(self.clock())
+
+    def _hold(self) -> None:
+        names = set()
+        for at in self.core.held:
+            if self.core.log.base < at <= self.core.log.last:
+                names.add(_change.decode(self.core.log.entry(at).body).tenant)
+        self.held = frozenset(names)
+
+    # ---- frames ----
+
+    def _frame(self, to: str, what: What, body: bytes) -> bytes:
+        founded = self.founded.id if self.founded is not None else ""
+        return sealed(Frame(VERSION, self.fellows.fleet, founded, self.me.name, self.me.disk, self.life.boot, to,
+                            self.marks, what, body), self.fellows.key)
+
+    def _taken(self, text: bytes) -> bool:
+        """Whatever it is, it ends nothing here. Whether it came from a member."""
+        founded = self.founded.id if self.founded is not None else ""
+        try:
+            frame = opened(text, self.fellows.key, self.fellows.fleet, self.me.name, founded)
+            self.members.heard(frame, self.clock())
+        except Dropped as dropped:
+            self.links.dropped[str(dropped)] += 1
+            if str(dropped) == "set back":
+                self.links.send(frame.sender, self._frame(frame.sender, What.SET_BACK, encoded_int(frame.boot)))
+            return str(dropped) in ("set back", "start")
+        try:
+            self._heard(frame)
+        except ValueError:  # of the decoders
+            self.links.dropped["form"] += 1
+        return True
+
+    def _heard(self, frame: Frame) -> None:
+        now, sender = self.clock(), Member(frame.sender, frame.disk)
+        self.core.learners[sender.name] = sender.disk
+        if frame.what is What.AGREEMENT:
+            if self.founding is None:
+                self.core.receive(sender, decoded(frame.body), now)
+                self._drive()
+        elif frame.what is What.PING:
+            self._pinged(sender, _ping.decode(frame.body))
+        elif frame.what is What.SET_BACK:
+            if msgspec.msgpack.decode(frame.body, type=int) == self.life.boot:
+                self._set_back()
+        else:
+            self._passed_on(frame.sender, _passed.decode(frame.body))
+
+    def _ping(self) -> None:
+        if self.ended:
+            return
+        self.reactor.callLater(PING, self._ping)
+        body = msgspec.msgpack.encode(Ping(self.agreed.version, self.founded, self.why_not(), self.trouble,
+                                           self.core.leader))
+        for name in self.members.others:
+            self.links.ping(name, self._frame(name, What.PING, body))
+
+    def _pinged(self, sender: Member, ping: Ping) -> None:
+        self.pings[sender.name] = ping
+        if self.founding is not None:
+            if ping.founded is None:
+                self.founding.heard(sender.name, sender.disk, ping.version)
+                self._found()
+            elif self.me in ping.founded.roster.members:
+                self._begin_as(ping.founded)
+            elif self.agreed.version:
+                self.founding.conflict = "has a registry of its own, and the fleet is there: begin with an empty store"
+            else:
+                self.founding = None  # a fleet that is there takes it in
+        elif self.founded is None and ping.founded is not None and self.core.voter():
+            self.founded = ping.founded
+            self._carry(ping.founded)
+
+    # ---- founding, and a disk that was set back ----
+
+    def _found(self) -> None:
+        found = self.founding.found() if self.founding is not None else None
+        if found is not None:
+            self._begin_as(Founded(*found))
+
+    def _begin_as(self, founded: Founded) -> None:
+        self.founded, self.founding = founded, None
+        self._carry(founded)
+        self.core.found(founded.roster, int(bool(founded.brings)), founded.brings == self.me.name, self.clock())
+        logger.bind(fleet=founded.id).info("the fleet is founded, of {}", ", ".join(founded.roster.names()))
+        self._drive()
+
+    def _set_back(self) -> None:
+        """Others know more of this disk than it holds: it is an old copy, and counts for nothing as it is."""
+        if self.writing:
+            self.reactor.callLater(0.05, self._set_back)
+            return
+        logger.error("the disk holds less than the fleet has from it: an old copy. It is taken in as a new one")
+        self.jobs.clear()
+        self.writing = True
+        boot = self.life.boot
+
+        def over(life: Life) -> None:
+            self.writing = False
+            self._live(life)
+
+        def fault(failure: Any) -> None:
+            self.writing = False
+            self._troubled(failure)
+            self.reactor.callLater(DISK_AGAIN, lambda: self._set_back() if self.life.boot == boot else None)
+
+        self.stored.do(self.store.give_up_disk).addCallbacks(over, fault)
+
+    # ---- what the core wants done ----
+
+    def _drive(self) -> None:
+        core = self.core
+        if core.installed is not None:
+            one, core.installed = core.installed, None
+            if one.data:
+                self._installed(one.data)
+        writes, core.writes = core.writes, []
+        for write in writes:
+            self._carry(write)
+        outcomes, core.outcomes = core.outcomes, []
+        for outcome in outcomes:
+            self._outcome(outcome)
+        judge, core.to_judge = core.to_judge, []
+        for at, body in judge:
+            core.judged(at, self._judge(at, body), self.clock())
+        self._hold()
+        out, core.out = core.out, []
+        for name, message in out:
+            self.links.send(name, self._frame(name, What.AGREEMENT, encoded(message)))
+        if core.wants_snapshot:
+            core.wants_snapshot = False
+            self.stored.do(self.store.snapshot).addCallbacks(self._snapshot, self._troubled)
+        if judge or core.writes or core.outcomes or core.to_judge:
+            self._drive()
+        self._overtaken()
+
+    def _snapshot(self, found: tuple[int, bytes]) -> None:
+        self.core.provide(*found)
+
+    def _judge(self, at: int, body: bytes) -> Unfitness | None:
+        """Whether this machine can have it: its listeners are bound, and accept nothing yet."""
+        try:
+            commit = commit_of(_change.decode(body))
+            name = commit.logged.tenant
+            if commit.entry is None and name in self.host.tenancies and not self.host.tenancies[name].over():
+                raise Unfit("state", "transactions of it are still open")
+            self._unprepare()
+            self.prepared[at] = name, self.host.prepare(self._after(commit), name)
+        except Unfit as fault:
+            return Unfitness("", fault.field, fault.why)
+        except (StoreError, msgspec.DecodeError) as fault:
+            return Unfitness("", "change", f"can't be read here: {fault}")
+        return None
+
+    def _unprepare(self) -> None:
+        for _, prepared in self.prepared.values():
+            prepared.drop()
+        self.prepared.clear()
+
+    def _after(self, commit: Commit) -> Registry:
+        tenants = {name: entry for name, entry in self.agreed.tenants.items() if name != commit.logged.tenant}
+        if commit.entry is not None:
+            tenants[commit.logged.tenant] = commit.entry
+        return Registry(MappingProxyType(tenants), commit.logged.version)
+
+    def _outcome(self, one: Outcome) -> None:
+        waiting = self.waiters.pop((one.term, one.about), None)
+        name, prepared = self.prepared.pop(one.about, ("", None))
+        if not one.decided:
+            if prepared is not None:
+                prepared.drop()
+            self._carry(Applied(one.index))
+            if waiting is not None:
+                waiting.errback(Nowhere(one.unfit.member, one.unfit.field, one.unfit.why))
+            return
+        try:
+            commit = commit_of(_change.decode(one.body))
+        except (StoreError, msgspec.DecodeError) as fault:
+            # Written by a later version of the program: without it this one has nothing to take by.
+            self.unfit = f"a change can't be read here: {fault}"
+            logger.error("a change that is in force can't be read here; nothing is taken until the next start")
+            return
+        self._in_force(commit, prepared)
+        if commit.answered is not None:
+            self.unsaved[(commit.answered.who, commit.answered.key)] = commit.answered
+        self._carry(Applied(one.index, commit))
+        if waiting is not None:
+            waiting.callback(None)
+
+    def _in_force(self, commit: Commit, prepared: Any) -> None:
+        logged = commit.logged
+        self.agreed = after = self._after(commit)
+        try:
+            if self.unfit:
+                raise Unfit("", self.unfit)
+            if prepared is None:
+                prepared = self.host.prepare(after, logged.tenant)
+            self.host.apply(after, logged.tenant, prepared)
+        except Unfit as fault:
+            if prepared is not None:
+                prepared.drop()
+            self._cannot(logged.tenant, fault)
+        except Exception as fault:  # of the program: this member is without the change, so it takes nothing
+            logger.bind(tenant=logged.tenant, version=logged.version).exception("a change could not be applied")
+            self._cannot(logged.tenant, Unfit("", f"a fault of the program: {fault}"))
+        logger.bind(tenant=logged.tenant, version=logged.version, who=logged.who, kind=logged.kind).info("changed")
+        self.news()
+
+    def _cannot(self, name: str, fault: Unfit) -> None:
+        if not self.unfit:
+            self.reactor.callLater(ADOPT_AGAIN, self._adopt)
+            logger.bind(tenant=name, cause=str(fault)).error("what is in force can't be had here; nothing is taken")
+        self.unfit = f"tenants.{name}.{fault.field}: {fault.why}" if fault.field else fault.why
+
+    def _installed(self, data: bytes) -> None:
+        """What is in force came whole, as the log goes back no further."""
+        try:
+            self.agreed = carried_of(data).registry()
+        except StoreError as fault:
+            logger.bind(cause=str(fault)).error("what is in force can't be read here")
+            self.unfit = "what is in force can't be read here"
+            return
+        self._unprepare()
+        self._adopt()
+        self.news()
+
+    def _adopt(self) -> None:
+        """Makes the host what is in force, tenant by tenant; tried again until it is."""
+        if self.ended:
+            return
+        self.unfit, there = "", self.agreed
+        for name in sorted({*there.tenants, *self.host.tenancies}):
+            tenancy = self.host.tenancies.get(name)
+            if there.tenants.get(name) == (tenancy.entry if tenancy is not None else None):
+                continue
+            try:
+                self.host.apply(there, name, self.host.prepare(there, name))
+            except Unfit as fault:
+                self._cannot(name, fault)
+            except Exception as fault:
+                logger.bind(tenant=name).exception("a tenant that is in force could not be applied")
+                self._cannot(name, Unfit("", f"a fault of the program: {fault}"))
+        self.host.registry = there
+
+    # ---- disk ----
+
+    def _carry(self, job: Job) -> None:
+        self.jobs.append(job)
+        if not self.writing:
+            self._write()
+
+    def _write(self) -> None:
+        if self.ended or not self.jobs:
+            return
+        self.writing = True
+        jobs = list(self.jobs)
+        self.stored.do(self.store.carry, jobs).addCallbacks(self._written, self._unwritten, callbackArgs=(jobs,))
+
+    def _written(self, done: None, jobs: list[Job]) -> None:
+        self.writing = False
+        if self.trouble:
+            logger.info("the store takes changes again")
+        self.trouble = ""
+        number = 0
+        for job in jobs:
+            self.jobs.popleft()
+            if isinstance(job, Write):
+                number = job.number
+                if job.install is not None:
+                    self.marks = Marks(job.term, bool(job.voted), job.install.term, job.install.index)
+                elif job.entries:
+                    self.marks = Marks(job.term, bool(job.voted), job.entries[-1].term, job.cut + len(job.entries))
+                else:
+                    self.marks = Marks(job.term, bool(job.voted), self.marks.last_term, self.marks.last)
+            elif isinstance(job, Applied):
+                if job.change is not None and job.change.answered is not None:
+                    self.unsaved.pop((job.change.answered.who, job.change.answered.key), None)
+                if job.index - self.core.log.base >= self.fellows.log_kept * 5 // 4:
+                    self._forget(job.index - self.fellows.log_kept)
+        if number:
+            self.core.saved(number, self.clock())
+            self._drive()
+        if not self.writing:
+            self._write()
+
+    def _forget(self, index: int) -> None:
+        log = self.core.log
+        before = log.base
+        self.core.forget(index)
+        if log.base != before:
+            self._carry(Forgot(log.base, log.base_term, log.base_roster))
+
+    def _unwritten(self, failure: Any) -> None:
+        """It says so, tries again, and meanwhile says nothing that would have to be on disk."""
+        self.writing = False
+        self._troubled(failure)
+        self.reactor.callLater(DISK_AGAIN, lambda: None if self.writing else self._write())
+
+    def _troubled(self, failure: Any) -> None:
+        if not self.trouble:
+            logger.bind(cause=str(failure.value)).error("the store takes no changes; this member votes for none")
+        self.trouble = str(failure.value)
+        if not failure.check(StoreError):
+            logger.error("uncaught: {}", failure.getTraceback())
+
+    # ---- changes ----
+
+    def leads(self) -> bool:
+        return self.core.leads()
+
+    def propose(self, commit: Commit) -> "Deferred[None]":
+        try:
+            at = self.core.propose(msgspec.msgpack.encode(change_of(commit)), self.clock())
+        except NotNow as fault:
+            return fail(fault)
+        waiting: Deferred[None] = Deferred()
+        key = self.core.term, at
+        self.waiters[key] = waiting
+        timer = self.reactor.callLater(self.patience, self._unknown, key)
+
+        def over(result: Any) -> Any:
+            self.waiters.pop(key, None)
+            if timer.active():
+                timer.cancel()
+            return result
+
+        waiting.addBoth(over)
+        self._drive()
+        return waiting
+
+    def _unknown(self, key: tuple[int, int]) -> None:
+        if key in self.waiters:
+            self.waiters[key].errback(Unknown())
+
+    def _overtaken(self) -> None:
+        """A proposal in whose place another entry is committed is nowhere, and never will be in force."""
+        for (term, at), waiting in list(self.waiters.items()):
+            if at <= self.core.commit and self.core.log.term(at) not in (term, -1):
+                waiting.errback(NotNow("another one leads by now", self.core.leader))
+
+    def pass_on(self, call: Call) -> "Deferred[Reply]":
+        """A change that was asked for here goes to who leads; its reply comes back the same way."""
+        leader = self.core.leader
+        if not leader or leader == self.me.name or len(self.passed) >= PASSED_MOST:
+            return succeed(problem(503, "nobody leads: no majority of the fleet is in reach" if not leader else
+                                   "too many changes wait", headers={"retry-after": "1"}))
+        id = self.random.getrandbits(53)
+        reply = self.passed[id] = Deferred()
+        timer = self.reactor.callLater(self.patience + 1, reply.callback, UNKNOWN)
+
+        def over(told: Reply) -> Reply:
+            self.passed.pop(id, None)
+            if timer.active():
+                timer.cancel()
+            return told
+
+        reply.addCallback(over)
+        text = Passed(id, (call.method, call.path, dict(call.query), dict(call.headers), call.body, call.peer))
+        self.links.send(leader, self._frame(leader, What.CALL, msgspec.msgpack.encode(text)))
+        return reply
+
+    def _passed_on(self, sender: str, told: Passed) -> None:
+        if told.call is not None:
+            call = Call(*told.call)
+            done = self.carry_out(call) if self.leads() else succeed(
+                problem(503, f"{self.me.name} leads no more", headers={"retry-after": "1"}))
+            done.addCallback(self._reply, sender, told.id)
+        elif told.reply is not None and told.id in self.passed:
+            status, body, headers = told.reply
+            self.passed[told.id].callback(Reply(status, orjson.loads(body) if body else None, headers))
+
+    def _reply(self, reply: Reply, to: str, id: int) -> None:
+        body = orjson.dumps(reply.body) if reply.body is not None else b""
+        text = msgspec.msgpack.encode(Passed(id, None, (reply.status, body, dict(reply.headers))))
+        self.links.send(to, self._frame(to, What.REPLY, text))
+
+    def answered(self, who: str, key: bytes) -> Answered | None:
+        return self.unsaved.get((who, key))
+
+    def leave(self, name: str) -> Reply:
+        """Takes a member out, for good; here, where the fleet is led."""
+        return self._members(self.core.leave, name, "leaving")
+
+    def join(self, name: str) -> Reply:
+        """Lets one that was taken out come in again."""
+        return self._members(self.core.welcome, name, "welcome")
+
+    def _members(self, change: Callable[[str, int], None], name: str, word: str) -> Reply:
+        try:
+            change(name, self.clock())
+        except NotNow as fault:
+            return problem(503, fault.why, headers={"retry-after": "1"})
+        except ValueError as fault:
+            return problem(422, str(fault), "member")
+        self._drive()
+        return Reply(202, {word: name})
+
+    # ---- what is told ----
+
+    def status(self) -> dict[str, Any]:
+        now, believed = self.clock(), self.members.believed(self.clock())
+        roster = self.core.roster()
+        disks = {one.name: one.disk for one in roster.members}
+        rows = []
+        for name in sorted({*self.fellows.places, *disks}):
+            mine, ping = name == self.me.name, self.pings.get(name)
+            why = self.why_not() if mine else ping.why_not if ping else ""
+            rows.append({
+                "name": name, "member": name in disks, "leads": name == self.core.leader,
+                "reach": "here" if mine else believed.get(name, "not in the file"),
+                "version": self.agreed.version if mine else ping.version if ping else None,
+                "fenced": bool(why), "why": why, "disk": self.trouble if mine else ping.trouble if ping else "",
+                "heard_ms": 0 if mine else self._age(name, now)})
+        open_at = self.core.log.undecided()
+        return {"fleet": self.fellows.fleet, "me": self.me.name, "leader": self.core.leader, "term": self.core.term,
+                "version": self.agreed.version, "log": self.core.log.last, "committed": self.core.commit,
+                "under_way": bool(open_at), "waits_for": self.core.missing(now) if self.leads() else [],
+                "alone": "go-on" if self.fellows.go_on else "stop", "lease_ms": self.fellows.lease // MS,
+                "members": rows, "out": list(roster.out), "dropped": dict(sorted(self.links.dropped.items()))}
+
+    def _age(self, name: str, now: int) -> int | None:
+        known = self.members.others.get(name)
+        return (now - known.heard) // MS if known is not None and known.heard else None
+
+
+def encoded_int(number: int) -> bytes:
+    return msgspec.msgpack.encode(number)
--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/front.py
@@ -176,6 +176,7 @@
         self.loop, self.name, self.dues = loop, name, dues
         self.by_address: dict[str, dict[TenantClient, None]] = {}
         self.shut = self.open_most = self.busy_clients = 0
+        self.fenced: Callable[[], int] | None = None  # nought, or how long: as `shut`, of a member of a fleet
 
     def buildProtocol(self, addr: Any) -> TenantClient:
         client = TenantClient(self)
@@ -239,7 +240,8 @@
 
     def over(self, client: TenantClient) -> int:
         """Nought, or how long its next command is told to wait, without being read."""
-        return self.door.about(self.shut) or self.dues.take(self.door.now(), client.address)
+        shut = self.shut or (self.fenced() if self.fenced is not None else 0)
+        return self.door.about(shut) or self.dues.take(self.door.now(), client.address)
 
     def full(self, client: TenantClient) -> bool:
         """Whether the tenant has as many open as it may, and this client its part of them."""
--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -40,6 +40,7 @@
         self.loop = Loop(reactor, lambda: int(reactor.seconds() * SECOND), self.turn)
         self.lent = Lent(max(16, service.process.sockets - OWN_DESCRIPTORS))
         self.memory = service.process.memory_mb << 20
+        self.own = service.fellows.address if service.fellows is not None else ""
         self.common = Common(reactor, service.process, self.loop, Ledger(), self.lent,
                              time.time_ns() - int(reactor.seconds() * SECOND), self._retell)
         self.tenancies: dict[str, Tenancy] = {}
@@ -57,7 +58,7 @@
         for name, entry in self.registry.tenants.items():
             try:
                 places = () if entry.tenant.state is State.ENDING else entry.tenant.listeners
-                prepared[name] = bound(self.reactor, places)
+                prepared[name] = bound(self.reactor, places, self.own)
             except Unfit as fault:
                 for one in prepared.values():
                     one.drop()
@@ -84,7 +85,7 @@
         there = before.tenant.listeners if before is not None else ()
         new = tuple(place for place in after.tenant.listeners if place not in there)
         try:
-            return bound(self.reactor, new)
+            return bound(self.reactor, new, self.own)
         except Unfit as fault:
             at = after.tenant.listeners.index(new[int(fault.field[len("listeners["):-1])])
             raise Unfit(f"listeners[{at}]", fault.why) from fault
@@ -290,6 +291,7 @@
         self.keeper: Any = None
         self.api: Any = None
         self.stored: Any = None
+        self.fleet: Any = None
         if service.store:
             self._with_store()
         else:
@@ -300,8 +302,17 @@
         from ternquay.hosted.api import Api
         from ternquay.hosted.changes import Keeper, Stored
         from ternquay.hosted.store import Store, StoreError
+        fellows, life = self.service.fellows, None
+        store: Store
         try:
-            store = Store(self.service.store)
+            if fellows is not None:
+                from ternquay.hosted.fleet_store import FleetStore
+                store = member = FleetStore(self.service.store)
+                life = member.begin_life()
+            else:
+                store = Store(self.service.store)
+                if store.of_a_fleet():
+                    raise ServiceError("peers: are wanted, as the store is a member's: by itself it may be behind")
             registry = store.registry()
         except StoreError as fault:
             raise ServiceError(f"store.path: {fault}") from fault
@@ -309,9 +320,17 @@
         self.stored = Stored(self.reactor, store)
         self.keeper = Keeper(self.reactor, Api(self.service.operators), self.host, self.stored, time.time_ns)
         self.host.remove = self.keeper.remove
+        if fellows is not None:
+            from ternquay.hosted.fleet import Fleet
+            assert life is not None
+            self.fleet = Fleet(self.reactor, fellows, self.host, self.stored, member, life)
+            self.keeper.join(self.fleet)
+            self.host.common.wait = self.fleet.wait
 
     def begin(self) -> None:
         try:
+            if self.fleet is not None:
+                self.fleet.begin()  # before any tenant takes anything
             self.host.begin()
             if self.service.api is not None:
                 from ternquay.hosted.http import ApiPort
@@ -330,7 +349,7 @@
         except ServiceError as fault:
             logger.bind(cause=str(fault)).error("told to read the file again, the old one is kept")
             return
-        for field in ("process", "store", "listen", "log"):
+        for field in ("process", "store", "listen", "log", "fellows"):
             if getattr(new, field) != getattr(self.service, field) and field != "process":
                 logger.warning("the file has another {}, which waits for the next start", field)
         if self.keeper is not None:
@@ -345,9 +364,11 @@
             self.api.end()
         if self.keeper is not None:
             self.keeper.end()
-        self.host.end()
+        self.host.end()  # a member leads, votes and renews its lease on while it finishes what it has
 
     def over(self) -> None:
+        if self.fleet is not None:
+            self.fleet.end()
         if self.stored is not None:
             self.stored.end()
 
--- a/ternquay/hosted/service.py
+++ b/ternquay/hosted/service.py
@@ -1,7 +1,9 @@
 """The operators' file of a hosted service, decoded and checked before anything starts."""
 
 import tomllib
-from dataclasses import replace
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from ipaddress import ip_address
 from pathlib import Path
 from random import Random
 from typing import Annotated, Any, Literal
@@ -12,6 +14,7 @@
     Document,
     Millis,
     Name,
+    PlaceText,
     TenantDocument,
     Wall,
     place_of,
@@ -24,8 +27,10 @@
 from ternquay.hosted.tenancy import Process
 from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit
 from ternquay.net.launch import descriptors
+from ternquay.peers.frames import KEY_LEAST
 
 MS = 1_000_000
+FELLOWS_MOST = 15
 Bounded = Annotated[int, msgspec.Meta(ge=1, le=10**6)]
 
 
@@ -80,6 +85,25 @@
     state: Literal["active", "suspended"] = "active"
 
 
+class FellowDocument(Document, frozen=True):
+    name: Name
+    place: PlaceText
+
+
+class PeersDocument(Document, frozen=True):
+    """The fleet that this process is a member of (docs/fleet-use.md)."""
+
+    fleet: Name
+    me: Name
+    key_file: Annotated[str, msgspec.Meta(min_length=1)]
+    members: tuple[FellowDocument, ...]
+    listen: PlaceText | None = None  # where the others' words come in, if not at its own place in `members`
+    address: str = ""  # of this machine; what tenants' listeners on 0.0.0.0 are bound to
+    lease_ms: Annotated[int, msgspec.Meta(ge=300, le=60_000)] = 1000
+    alone: Literal["stop", "go-on"] = "stop"
+    log_kept: Annotated[int, msgspec.Meta(ge=16, le=100_000)] = 1024  # entries, for who comes back soon
+
+
 class ServiceDocument(Document, frozen=True):
     name: str = "ternquay"
     process: ProcessDocument = ProcessDocument()
@@ -87,6 +111,22 @@
     api: ApiDocument | None = None
     log: LogDocument = LogDocument()
     tenants: tuple[ListedDocument, ...] = ()
+    peers: PeersDocument | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Fellows:
+    """The fleet as the file has it; `lease` in nanoseconds."""
+
+    fleet: str
+    me: str
+    places: Mapping[str, Place]
+    listen: Place
+    key: bytes
+    lease: int
+    go_on: bool
+    address: str
+    log_kept: int
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -101,6 +141,7 @@
     operators: tuple[Key, ...]
     log: LogDocument
     registry: Registry  # of the file, where there is no store
+    fellows: Fellows | None = None
 
 
 def read_tables(path: Path) -> dict[str, Any]:
@@ -131,13 +172,57 @@
         raise Unfit("tenants", "stand in the store where there is one; `ternquay admin apply` brings them there")
     if told.api is not None and told.store is None:
         raise Unfit("api", "a store is wanted, as what is acknowledged has to last")
+    fellows = _fellows(path, told)
     return Service(
-        path=str(path), name=told.name, process=_process(told.process), store=_beside(path, told.store),
+        path=str(path), name=told.name, process=_process(told.process, fellows), fellows=fellows,
+        store=_beside(path, told.store),
         api=told.api, listen=_listen(path, told.api), operators=_operators(told.api), log=told.log,
         registry=registry_of(told.tenants))
 
 
-def _process(told: ProcessDocument) -> Process:
+def _fellows(path: Path, told: ServiceDocument) -> Fellows | None:
+    peers = told.peers
+    if peers is None:
+        return None
+    if told.store is None:
+        raise Unfit("peers", "a store is wanted, as what is agreed on has to last")
+    if (told.process.balancers, told.process.number) != (1, 0):
+        raise Unfit("process.balancers", "is how many members there are, where there are peers")
+    places: dict[str, Place] = {}
+    for i, one in enumerate(peers.members):
+        place = place_of(one.place, f"peers.members[{i}].place")
+        if one.name in places:
+            raise Unfit(f"peers.members[{i}].name", f"{one.name} stands there twice")
+        if place in places.values():
+            raise Unfit(f"peers.members[{i}].place", "another member has it")
+        places[one.name] = place
+    if peers.me not in places:
+        raise Unfit("peers.me", f"{peers.me} is none of the members")
+    if len(places) > FELLOWS_MOST:
+        raise Unfit("peers.members", f"{FELLOWS_MOST} members are the most")
+    listen = place_of(peers.listen, "peers.listen") if peers.listen is not None else places[peers.me]
+    try:
+        address = str(ip_address(peers.address)) if peers.address else ""
+    except ValueError as fault:
+        raise Unfit("peers.address", "an address is wanted") from fault
+    return Fellows(peers.fleet, peers.me, places, listen, _key(path, peers), peers.lease_ms * MS,
+                   peers.alone == "go-on", address, peers.log_kept)
+
+
+def _key(path: Path, told: PeersDocument) -> bytes:
+    try:
+        key = (path.parent / told.key_file).read_bytes().strip()
+    except OSError as fault:
+        raise Unfit("peers.key_file", f"{told.key_file}: {fault.strerror}") from fault
+    if len(key) < KEY_LEAST:
+        raise Unfit("peers.key_file", f"{KEY_LEAST} bytes at least are wanted")
+    return key
+
+
+def _process(told: ProcessDocument, fellows: Fellows | None) -> Process:
+    if fellows is not None:
+        told = msgspec.structs.replace(
+            told, balancers=len(fellows.places), number=sorted(fellows.places).index(fellows.me))
     if told.number >= told.balancers:
         raise Unfit("process.number", f"there are {told.balancers} balancers, from 0")
     seed = told.seed if told.seed is not None else Random().getrandbits(64)
--- a/ternquay/hosted/store.py
+++ b/ternquay/hosted/store.py
@@ -159,6 +159,9 @@
         row = db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
         return int(row[0])
 
+    def of_a_fleet(self) -> bool:
+        return bool(self._rows("SELECT 1 FROM sqlite_master WHERE name = 'fleet_meta'", ()))
+
     def close(self) -> None:
         self.db.close()
 
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any
 
 from twisted.internet.error import CannotListenError
@@ -48,6 +49,7 @@
     sockets: Lent
     offset: int  # wall clock less ours
     retell: Callable[[set[str]], None] = lambda names: None
+    wait: Callable[[str], int] | None = None  # of a member of a fleet: how long a tenant's new txs are told to wait
 
 
 class Numbers(dict[str, int]):
@@ -180,11 +182,12 @@
         self.startReading()
 
 
-def bound(reactor: Any, places: tuple[Place, ...], backlog: int = 1024) -> Prepared:
-    """Raises Unfit, with nothing left bound, if one of them can't be."""
+def bound(reactor: Any, places: tuple[Place, ...], own: str = "", backlog: int = 1024) -> Prepared:
+    """`own` stands for 0.0.0.0 here. Raises Unfit, with nothing left bound, if one of them can't be."""
     prepared = Prepared()
     for i, place in enumerate(places):
-        port = Held(place.port, Factory(), backlog, place.host, reactor)  # type: ignore[arg-type]
+        host = own if own and place.host == "0.0.0.0" else place.host
+        port = Held(place.port, Factory(), backlog, host, reactor)  # type: ignore[arg-type]
         try:
             port.startListening()
         except CannotListenError as fault:
@@ -212,6 +215,7 @@
             reactor, self.door, self.limits, self.sockets, self.turn, common.loop, self.id, self.dues)
         self.front.open_most = tenant.limits.open_txs
         self.front.gate = self._gate
+        self.front.fenced = partial(common.wait, tenant.name) if common.wait is not None else None
         self.ports: dict[Place, Any] = {}
         self.members: dict[str, Member] = {}
         self.discovery: Discovery | None = None
--- a/ternquay/rig/walk.py
+++ b/ternquay/rig/walk.py
@@ -14,7 +14,8 @@
 from random import Random
 from typing import Any
 
-from ternquay.consensus.core import Core, Figures, Kept, NotNow, Outcome, Write
+from ternquay.consensus.core import Core, Figures, Kept, Outcome, Write
+from ternquay.consensus.fate import NotNow
 from ternquay.consensus.log import Log
 from ternquay.consensus.messages import Member, Message, Roster, Unfitness
 
--- a/tests/hosted_helper.py
+++ b/tests/hosted_helper.py
@@ -48,9 +48,17 @@
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> "Hosted":
+        self.launch()
+        return self.ready()
+
+    def launch(self) -> None:
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([sys.executable, "-m", "ternquay", "host", "--config", str(self.file)],
                                             cwd=ROOT, stderr=log)
+
+    def ready(self) -> "Hosted":
+        """Once its API can be reached."""
+        assert self.process is not None
         until = time.monotonic() + 20
         while time.monotonic() < until:
             try:
