--- a/ternquay/consensus/core.py
+++ b/ternquay/consensus/core.py
@@ -239,6 +239,12 @@
         elif now >= self.due and self.voter() and self.log.last >= self.least:
             self._call_early(now)
 
+    def resign(self, now: int) -> None:
+        """Leads no more, and calls for no election for a while; it follows, and votes, as before."""
+        if self.leads():
+            self._follow(self.term, now)
+        self.due = now + 10 * self.figures.lease
+
     # ---- elections ----
 
     def _call_early(self, now: int) -> None:
--- a/ternquay/hosted/fleet.py
+++ b/ternquay/hosted/fleet.py
@@ -118,7 +118,6 @@
         self.writing = False
         self.trouble = ""
         self.marks = Marks()
-        self.begun = False
         self.pings: dict[str, Ping] = {}
         self.held: frozenset[str] = frozenset()
         self.prepared: dict[int, tuple[str, Any]] = {}
@@ -126,10 +125,12 @@
         self.unfit = ""  # why what is in force can't be had here
         self.waiters: dict[tuple[int, int], Deferred[None]] = {}
         self.unsaved: dict[tuple[str, bytes], Answered] = {}  # answers that are not on disk yet
-        self.passed: dict[int, Deferred[Reply]] = {}
+        self.passed: dict[int, tuple[str, Deferred[Reply]]] = {}  # to whom
+        self.led = False  # as of the last look
         self.carry_out: Callable[[Call], Deferred[Reply]] = lambda call: succeed(UNKNOWN)
         self.news: Callable[[], None] = lambda: None
         self.ended = False
+        self.told_why = "not begun"
         self._live(life)
 
     def _live(self, life: Life) -> None:
@@ -150,17 +151,23 @@
             self.links.begin()
         except CannotListenError as fault:
             raise Unfit("peers.members", f"{self.fellows.me}: can't be bound: {fault.socketError}") from fault
-        self.begun = True
+        many = len(self.fellows.places)
+        if many % 2 == 0 or many == 1:
+            logger.warning("{} members bear the loss of {}, as {} would", many, (many - 1) // 2, max(1, many - 1))
         self._found()
         self._tick()
         self._ping()
 
+    def resign(self) -> None:
+        """It is told to end: another one leads, while this one finishes what it has taken."""
+        self.core.resign(self.clock())
+
     def end(self) -> None:
         self.ended = True
         self.links.end()
         for waiting in list(self.waiters.values()):
             waiting.errback(Unknown())
-        for reply in list(self.passed.values()):
+        for _, reply in list(self.passed.values()):
             reply.callback(UNKNOWN)
 
     def _tick(self) -> None:
@@ -168,6 +175,17 @@
             self.reactor.callLater(self.figures.every / 3 / SECOND, self._tick)
             self.core.tick(self.clock())
             self._drive()
+            self._tell()
+
+    def _tell(self) -> None:
+        """That it takes nothing, and that it does again, each once."""
+        why = self.why_not()
+        if bool(why) != bool(self.told_why):
+            if why:
+                logger.bind(cause=why, clock=time.monotonic_ns()).warning("takes nothing")
+            else:
+                logger.bind(version=self.agreed.version, clock=time.monotonic_ns()).info("takes what comes")
+        self.told_why = why
 
     # ---- whether a tx may be taken ----
 
@@ -386,7 +404,8 @@
         except Exception as fault:  # of the program: this member is without the change, so it takes nothing
             logger.bind(tenant=logged.tenant, version=logged.version).exception("a change could not be applied")
             self._cannot(logged.tenant, Unfit("", f"a fault of the program: {fault}"))
-        logger.bind(tenant=logged.tenant, version=logged.version, who=logged.who, kind=logged.kind).info("changed")
+        logger.bind(tenant=logged.tenant, version=logged.version, who=logged.who, kind=logged.kind,
+                    clock=time.monotonic_ns()).info("changed")
         self.news()
 
     def _cannot(self, name: str, fault: Unfit) -> None:
@@ -445,8 +464,9 @@
             logger.info("the store takes changes again")
         self.trouble = ""
         number = 0
-        for job in jobs:
+        for _ in jobs:
             self.jobs.popleft()
+        for job in jobs:
             if isinstance(job, Write):
                 number = job.number
                 if job.install is not None:
@@ -520,6 +540,14 @@
         for (term, at), waiting in list(self.waiters.items()):
             if at <= self.core.commit and self.core.log.term(at) not in (term, -1):
                 waiting.errback(NotNow("another one leads by now", self.core.leader))
+        if self.led and not self.core.leads():
+            # Whether the next leader carries it on is mostly known by then; else whoever asked asks again.
+            for key in self.waiters:
+                self.reactor.callLater(self.fellows.lease / SECOND, self._unknown, key)
+        self.led = self.core.leads()
+        for leader, reply in list(self.passed.values()):
+            if self.core.leader not in ("", leader):
+                reply.callback(UNKNOWN)  # to that one nobody listens any more
 
     def pass_on(self, call: Call) -> "Deferred[Reply]":
         """A change that was asked for here goes to who leads; its reply comes back the same way."""
@@ -528,7 +556,8 @@
             return succeed(problem(503, "nobody leads: no majority of the fleet is in reach" if not leader else
                                    "too many changes wait", headers={"retry-after": "1"}))
         id = self.random.getrandbits(53)
-        reply = self.passed[id] = Deferred()
+        reply: Deferred[Reply] = Deferred()
+        self.passed[id] = leader, reply
         timer = self.reactor.callLater(self.patience + 1, reply.callback, UNKNOWN)
 
         def over(told: Reply) -> Reply:
@@ -550,7 +579,7 @@
             done.addCallback(self._reply, sender, told.id)
         elif told.reply is not None and told.id in self.passed:
             status, body, headers = told.reply
-            self.passed[told.id].callback(Reply(status, orjson.loads(body) if body else None, headers))
+            self.passed[told.id][1].callback(Reply(status, orjson.loads(body) if body else None, headers))
 
     def _reply(self, reply: Reply, to: str, id: int) -> None:
         body = orjson.dumps(reply.body) if reply.body is not None else b""
--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -94,8 +94,12 @@
         """All of it, in one step of the loop. What raises leaves the other tenants as they are."""
         self.registry = registry
         if self.ending:
-            # It was at the disk as the end was told: it counts from the next start on, and opens nothing now.
+            # It opens nothing any more. But what is served on until the end is served by what is in force: a member of
+            # a fleet that suspends a tenant elsewhere must not take its txs here meanwhile.
             prepared.drop()
+            entry = registry.tenants.get(name)
+            if entry is not None and name in self.tenancies:
+                self.tenancies[name].change(entry, Prepared())
             return
         try:
             self._apply(registry, name, prepared)
@@ -364,7 +368,9 @@
             self.api.end()
         if self.keeper is not None:
             self.keeper.end()
-        self.host.end()  # a member leads, votes and renews its lease on while it finishes what it has
+        if self.fleet is not None:
+            self.fleet.resign()
+        self.host.end()  # a member votes, and renews its lease, while it finishes what it has
 
     def over(self) -> None:
         if self.fleet is not None:
--- a/ternquay/hosted/logs.py
+++ b/ternquay/hosted/logs.py
@@ -6,7 +6,7 @@
 import orjson
 from loguru import logger
 
-FIELDS = ("tenant", "version", "cause", "who", "kind", "status")
+FIELDS = ("tenant", "version", "cause", "who", "kind", "status", "clock", "fleet")
 
 
 def line_of(record: dict[str, Any]) -> str:
--- a/ternquay/hosted/service.py
+++ b/ternquay/hosted/service.py
@@ -25,7 +25,7 @@
 )
 from ternquay.hosted.registry import Make, Registry
 from ternquay.hosted.tenancy import Process
-from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit
+from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit, placed
 from ternquay.net.launch import descriptors
 from ternquay.peers.frames import KEY_LEAST
 
@@ -191,6 +191,7 @@
     places: dict[str, Place] = {}
     for i, one in enumerate(peers.members):
         place = place_of(one.place, f"peers.members[{i}].place")
+        placed(place, f"peers.members[{i}].place")
         if one.name in places:
             raise Unfit(f"peers.members[{i}].name", f"{one.name} stands there twice")
         if place in places.values():
@@ -201,6 +202,7 @@
     if len(places) > FELLOWS_MOST:
         raise Unfit("peers.members", f"{FELLOWS_MOST} members are the most")
     listen = place_of(peers.listen, "peers.listen") if peers.listen is not None else places[peers.me]
+    placed(listen, "peers.listen")
     try:
         address = str(ip_address(peers.address)) if peers.address else ""
     except ValueError as fault:
@@ -238,6 +240,7 @@
     if told is None:
         return None
     place = place_of(told.listen, "api.listen")
+    placed(place, "api.listen")
     if told.tls is None and not (place.host.startswith("127.") or place.host == "::1"):
         raise Unfit("api.tls", "is wanted, as plain HTTP is for loopback alone")
     if told.tls is not None:
--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -94,6 +94,8 @@
     """Play one day. Exit 0: no rule was broken; 1: one was; 2: it could not be played; 3: the rig was late."""
     with told_in_a_line():
         world = day_with(day, seconds, balancers, hosts, rate)
+        if world.agreement.a_second:
+            return play_fleet(world, seed, out)
         if world.tenants:
             return play_hosted(world, seed, out, flood)
         one = by_decisions(decisions)
@@ -133,6 +135,21 @@
     raise typer.Exit(exit_code(result))
 
 
+def play_fleet(day: Day, seed: int, out: Path) -> None:
+    from ternquay.rig.agree import play_agreement  # with what a hosted service wants
+    result, breaches = play_agreement(day, seed, out, lambda at: show(f"{day.name} {at:.0f} of {day.seconds:.0f} s"))
+    write_result(out, result, breaches)
+    show("")
+    typer.echo(f"{day.name}: {result['agreement']}, rules {result['rules']}"
+               + (", late: void" if result["late"] else ""))
+    for name, one in result["tenants"].items():
+        typer.echo(f"  {name:12} service {one['service']:.3f}  by member {one['service_by_member']}  {one['txs']} txs")
+    for breach in breaches[:5]:
+        typer.echo(f"  {breach.rule}: {breach.what}")
+    agreed = result["agreement"]
+    raise typer.Exit(BROKEN if agreed["unknown"] or agreed["lost"] else exit_code(result))
+
+
 def flooded(day: Day, shape: str) -> Day:
     """The day with another shape of its flood; raises DayError if there is none of that name."""
     if shape not in FLOODS:
--- a/ternquay/rig/records.py
+++ b/ternquay/rig/records.py
@@ -107,6 +107,14 @@
     code: int = 0
 
 
+class Pause(msgspec.Struct, array_like=True):
+    """A balancer's process was stopped (SIGSTOP) for so long."""
+
+    balancer: int
+    began: int
+    ended: int
+
+
 class Sample(msgspec.Struct, array_like=True):
     """One balancer's use of its machine."""
 
@@ -147,6 +155,7 @@
     fleet: FleetSaw
     lives: list[Life]
     samples: list[Sample]
+    pauses: list[Pause] = []
 
 
 def write(path: Path, what: Any) -> None:
--- a/ternquay/rig/tenants.py
+++ b/ternquay/rig/tenants.py
@@ -112,9 +112,13 @@
 
     def start(self) -> None:
         command = [sys.executable, "-m", "ternquay", "host", "--config", str(self.file.resolve())]
-        self.running = self.stage.start("hosted", command, self.core, self.contender.tree, False)
+        self.running = self.stage.start(self.label(), command, self.core, self.contender.tree, False)
         self.lives.append(records.Life(0, time.monotonic_ns()))
 
+    def label(self) -> str:
+        """Of its log."""
+        return "hosted"
+
     def answers(self) -> bool:
         host, _, port = self.api.rpartition(":")
         try:
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -139,6 +139,31 @@
     tenants: tuple[str, ...] = ()  # those that are changed
 
 
+TroubleKind = Literal["kill", "stop", "restart", "kill-all", "cut", "cut-out", "cut-in", "halves", "late", "lossy",
+                      "drip", "disk-old", "disk-lost"]
+
+
+class Trouble(Terms, frozen=True):
+    """Something between or to the members of a fleet. `who`: drawn as it begins, but for halves and all."""
+
+    kind: TroubleKind
+    start: Share  # of the play's length
+    end: Share
+    who: Literal["leader", "follower", "any", "all"] = "any"
+    ms: Millis = 0  # how late messages are at most
+    part: Share = 0.0  # of messages that are lost, and as many doubled
+    flaps: Count = 1  # so often on and off
+
+
+class AgreementTerms(Terms, frozen=True):
+    """A fleet of hosted balancers that is changed while members fail; see rig/agree.py."""
+
+    a_second: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # changes
+    lease_ms: Count = 1000
+    alone: Literal["stop", "go-on"] = "stop"
+    troubles: tuple[Trouble, ...] = ()
+
+
 class Fault(Terms, frozen=True):
     kind: FaultKind
     start: Share  # of the play's length
@@ -167,6 +192,7 @@
     tenants: tuple[TenantTerms, ...] = ()
     flood: FloodTerms = FloodTerms()
     changes: ChangeTerms = ChangeTerms()
+    agreement: AgreementTerms = AgreementTerms()
 
 
 class Planned(msgspec.Struct, frozen=True):
@@ -211,6 +237,9 @@
             return f"faults[{i}].share: a share or a count of hosts is wanted"
         if f.kind in BALANCER_FAULTS and f.balancer >= day.balancers.count:
             return f"faults[{i}].balancer: there are {day.balancers.count} balancers, from 0"
+    for i, trouble in enumerate(day.agreement.troubles):
+        if trouble.end <= trouble.start:
+            return f"agreement.troubles[{i}].end: {trouble.end} is not after the start"
     return _tenants_fault(day)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -279,6 +279,36 @@
     assert asker.values == []
 
 
+def test_told_to_end_it_takes_nothing_by_the_old_until_it_is_gone(fleet: Fleet, sur: int) -> None:
+    leader = fleet.leader()
+    ends = fleet.others(leader)[0]
+    asker = Asker(ends, sur)
+    until(lambda: len(asker.values) > 10, 10)
+    assert ends.process is not None
+    ends.process.terminate()
+    suspend(fleet, leader)
+    done, asked = time.monotonic(), asker.asked
+    until(lambda: asker.asked > asked + 20, 10)
+    asker.ended = True
+    assert [at for at in asker.values if at > done] == []
+    assert ends.process.wait(10) == 0
+
+
+def test_a_leader_that_is_told_to_end_leaves_its_place_and_no_service_is_lost(fleet: Fleet, sur: int) -> None:
+    old = fleet.leader()
+    rest = fleet.others(old)
+    askers = [Asker(one, sur) for one in rest]
+    assert old.process is not None
+    old.process.terminate()
+    new = fleet.leader("".join(one.name for one in rest), 5)
+    assert old.process.poll() is None  # still finishing what it took
+    suspend(fleet, new, "active")
+    assert old.process.wait(10) == 0
+    for asker in askers:
+        asker.ended = True
+        assert len(asker.values) >= asker.asked - 1
+
+
 def disk(member: Fellow) -> list[Path]:
     return list(member.folder.glob("registry.db*"))
 
