--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -259,7 +259,8 @@
     (OPERATOR.replace("tq1.-", "tq1.sur"), 401), (ADMINISTRATOR.replace("sur", "norte"), 401),
     (ADMINISTRATOR.replace("admin", "reader"), 401), ("tq1.nobody.x." + "A" * 43, 401), ("\u00e9" * 60, 401),
     (READER, 200), (ADMINISTRATOR, 200), (OPERATOR, 200),
-])
+], ids=["over", "none", "altered", "longer", "another's", "another tenant's", "another name's", "nobody's", "not ascii",
+        "reader", "administrator", "operator"])
 def test_only_a_whole_and_valid_token_lets_in(token: str, status: int) -> None:
     assert handled("GET", "/v1/tenants/sur", token).status == status
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -35,7 +35,9 @@
 
 DAYS = {"calm", "slow-origin", "silent-host", "crash-fifth", "rolling-release", "hot-key", "burst", "discovery-down",
         "stale-list", "garbling", "resets", "balancer-killed", "planned-restarts", "reload", "all-together", "tenants",
-        "tenants-changes", "tenants-shared-cold", "two-shapes"}
+        "tenants-changes", "tenants-shared-cold", "two-shapes",
+        "agree-crash", "agree-partition", "agree-slow", "agree-restart",
+}
 
 
 def rig(*words: str) -> tuple[int, str]:
