--- a/ternquay/hosted/fleet.py
+++ b/ternquay/hosted/fleet.py
@@ -558,7 +558,8 @@
         id = self.random.getrandbits(53)
         reply: Deferred[Reply] = Deferred()
         self.passed[id] = leader, reply
-        timer = self.reactor.callLater(self.patience + 1, reply.callback, UNKNOWN)
+        # A lost word is not waited for: whoever asked asks again, with its key, and is told what became of it.
+        timer = self.reactor.callLater(1 + self.fellows.lease / SECOND, reply.callback, UNKNOWN)
 
         def over(told: Reply) -> Reply:
             self.passed.pop(id, None)
--- a/ternquay/hosted/loop.py
+++ b/ternquay/hosted/loop.py
@@ -16,6 +16,9 @@
 QUANTUM, CLIENT_QUANTUM = MS, MS // 2
 SLICE = 3 * MS // 2  # of one turn of the reactor; others' answers and timers come after it
 PIECE = MS // 2  # of one piece of work, unless one step of it takes longer
+# A step that took longer by the clock: the process did not run in it (it was stopped, or the machine had no time for
+# it), which is no tenant's doing. Charged whole, whoever's turn it was would sit out as long again.
+STEP_MOST = 20 * MS
 
 
 class Work(Protocol):
@@ -53,7 +56,7 @@
         now = clock()
         if not works:
             del self.works[who]
-        self.turns.spent(now, who, now - began, bool(works))
+        self.turns.spent(now, who, min(STEP_MOST, now - began), bool(works))
         if works:
             self.turns.ready(now, who)
         return bool(self.works)
@@ -119,9 +122,12 @@
         """Does something of that tenant outside its turns, and charges it."""
         began = self.clock()
         found = what()
-        self.charge(name, self.clock() - began)
+        self.charge_since(name, began)
         return found
 
+    def charge_since(self, name: str, began: int) -> None:
+        self.charge(name, min(STEP_MOST, self.clock() - began))
+
     def charge(self, name: str, took: int) -> None:
         part = self.parts.get(name)
         if part is not None:
@@ -144,7 +150,7 @@
                 self._hold(now, name, wait)
                 continue
             more = part.piece(self.clock)
-            took, now = self.clock() - now, self.clock()
+            took, now = min(STEP_MOST, self.clock() - now), self.clock()
             part.spent += took
             part.ceiling.spent(now, took)
             self.turns.spent(now, name, took, more)
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenancy.py
@@ -114,7 +114,7 @@
         loop = self.pool.loop
         began = loop.clock()
         super().rawDataReceived(data)
-        loop.charge(self.pool.name, loop.clock() - began)
+        loop.charge_since(self.pool.name, began)
 
 
 class TenantPool(Pool):
--- a/tests/fleet_helper.py
+++ b/tests/fleet_helper.py
@@ -20,13 +20,16 @@
     def __init__(self, folder: Path, name: str, number: int, operator: str, peers: str) -> None:
         folder.mkdir()
         (folder / "fleet.key").write_bytes(KEY)
-        self.name, self.address = name, f"127.7.0.{number + 1}"
+        self.name, self.address, self.odd = name, f"127.7.0.{number + 1}", ""
         super().__init__(folder, tls=f'[peers]\nfleet = "test"\nme = "{name}"\nkey_file = "fleet.key"\n'
                                      f'address = "{self.address}"\n{peers}\n')
         self.text = self.text.replace(self.digest(self.operator), self.digest(operator))
         self.operator = operator
         self.file.write_text(self.text)
 
+    def command(self) -> list[str]:
+        return ["-m", "tests.fleet_launcher", self.odd, str(self.folder)] if self.odd else super().command()
+
     @staticmethod
     def digest(token: str) -> str:
         from ternquay.hosted import keys
@@ -49,7 +52,7 @@
 
 
 class Fleet:
-    def __init__(self, folder: Path, names: str = "abc", more: str = "") -> None:
+    def __init__(self, folder: Path, names: str = "abc", more: str = "", odd: str = "") -> None:
         from ternquay.hosted import keys
         places = {name: Hosted.place(free_place("127.0.0.1")) for name in names}
         self.between = Between(places)
@@ -61,6 +64,7 @@
                 other, "{}:{}".format(*places[name]) if other == name else self.between.place(name, other))
                 for other in names)
             self.all[name] = Fellow(folder / name, name, n, operator, f"{more}\n{rows}")
+            self.all[name].odd = odd
 
     def start(self, *names: str) -> "Fleet":
         for name in names or self.all:
--- a/tests/hosted_helper.py
+++ b/tests/hosted_helper.py
@@ -51,9 +51,12 @@
         self.launch()
         return self.ready()
 
+    def command(self) -> list[str]:
+        return ["-m", "ternquay"]
+
     def launch(self) -> None:
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "ternquay", "host", "--config", str(self.file)],
+            self.process = subprocess.Popen([sys.executable, *self.command(), "host", "--config", str(self.file)],
                                             cwd=ROOT, stderr=log)
 
     def ready(self) -> "Hosted":
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -452,6 +452,27 @@
     assert max(waits) <= 8 * MS
 
 
+@pytest.mark.parametrize("at_once", [True, False])
+def test_a_process_that_was_stopped_in_a_tenants_turn_charges_it_for_no_more_than_a_step(at_once: bool) -> None:
+    """0.8 s in which nothing ran were charged to whoever's turn it was, which then sat out 0.75 s."""
+    time = Time()
+    time.loop.settle({"a": (1.0, 0.9), "b": (1.0, 0.9)})
+
+    def stopped() -> bool:
+        time.at += 800 * MS
+        return False
+
+    if at_once:
+        time.loop.timed("a", stopped)
+    else:
+        work = Endless(time, "a", MS)
+        work.piece = stopped  # type: ignore[method-assign]
+        time.loop.ready("a", "x", work)
+        time.run(1)
+    time.run(1, 40 * MS)
+    assert time.loop.at_once("a")
+
+
 def test_a_tenant_at_its_ceiling_pauses_and_what_it_costs_elsewhere_counts() -> None:
     time = Time()
     time.loop.settle({"a": (1.0, 0.2)})
