--- a/ternquay/consensus/core.py
+++ b/ternquay/consensus/core.py
@@ -37,7 +37,7 @@
 )
 
 ENTRIES_MOST, BYTES_MOST, PART = 64, 256 << 10, 256 << 10
-SNAPSHOT_MOST = 64 << 20  # bytes: as many tenants as a registry takes, with their answers
+SNAPSHOT_MOST = 256 << 20  # bytes: far more than a registry and its answers come to
 NEAR = 16  # entries that a disk may lack which is to be taken in
 
 
@@ -487,6 +487,8 @@
         self._counted(now)
         self._commit(now)
         self._decide(now)
+        if self.snapshot is not None and all(one.next > self.log.base for one in self.progress.values()):
+            self.snapshot = None  # nobody is so far behind any more
         moved = before != (known.have, known.part, known.next)  # else each that comes twice would be answered twice
         if moved and (not ack.agreed or known.next <= self.log.last):
             self._send(sender.name, now)
--- a/ternquay/hosted/fleet.py
+++ b/ternquay/hosted/fleet.py
@@ -115,7 +115,7 @@
         self.links = Links(reactor, (fellows.listen.host, fellows.listen.port),
                            {name: (place.host, place.port) for name, place in others.items()}, self._taken, self.random)
         self.jobs: deque[Job] = deque()
-        self.writing = False
+        self.writing = self.reading = False
         self.trouble = ""
         self.marks = Marks()
         self.pings: dict[str, Ping] = {}
@@ -328,16 +328,21 @@
         out, core.out = core.out, []
         for name, message in out:
             self.links.send(name, self._frame(name, What.AGREEMENT, encoded(message)))
-        if core.wants_snapshot:
-            core.wants_snapshot = False
-            self.stored.do(self.store.snapshot).addCallbacks(self._snapshot, self._troubled)
+        if core.wants_snapshot and not self.reading:
+            self.reading = True
+            self.stored.do(self.store.snapshot).addCallbacks(self._snapshot, self._no_snapshot)
         if judge or core.writes or core.outcomes or core.to_judge:
             self._drive()
         self._overtaken()
 
     def _snapshot(self, found: tuple[int, bytes]) -> None:
+        self.reading = False
         self.core.provide(*found)
 
+    def _no_snapshot(self, failure: Any) -> None:
+        self.reading = self.core.wants_snapshot = False
+        self._troubled(failure)
+
     def _judge(self, at: int, body: bytes) -> Unfitness | None:
         """Whether this machine can have it: its listeners are bound, and accept nothing yet."""
         try:
--- a/ternquay/rig/agree.py
+++ b/ternquay/rig/agree.py
@@ -71,9 +71,10 @@
         self.file.write_text(
             f'name = "{self.name}"\n[process]\nsockets = 1024\n[store]\npath = "registry.db"\n[api]\n'
             f'listen = "{self.api}"\ncalls_a_second = 500.0\nburst = 500\n[[api.operators]]\nname = "rig"\n'
-            f'digest = "{keys.digest_of(token).hex()}"\n[peers]\nfleet = "rig"\nme = "{self.name}"\n'
-            f'key_file = "fleet.key"\naddress = "{self.address}"\nlease_ms = {day.agreement.lease_ms}\n'
-            f'alone = "{day.agreement.alone}"\n{rows}[end]\n')
+            f'digest = "{keys.digest_of(token).hex()}"\n' + (
+                f'[peers]\nfleet = "rig"\nme = "{self.name}"\nkey_file = "fleet.key"\naddress = "{self.address}"\n'
+                f'lease_ms = {day.agreement.lease_ms}\nalone = "{day.agreement.alone}"\n{rows}'
+                if day.agreement.peers else "") + "[end]\n")
 
     def start(self) -> None:
         super().start()
@@ -406,8 +407,12 @@
                          for m in known["members"]]
     for fellow in fellows:
         fellow.wait_ready()
-    _led(fellows).take_in([document(party) for party in parties])
-    settled(fellows)
+    if day.agreement.peers:
+        _led(fellows).take_in([document(party) for party in parties])
+        settled(fellows)
+    else:
+        for fellow in fellows:
+            fellow.take_in([document(party) | {"listeners": [fellow.listens[party.terms.name]]} for party in parties])
     loads = {}
     for n, party in enumerate(parties):
         plan = Plan(party.day, seed + 1000 * n, "", balancers=[fellow.listens[party.terms.name] for fellow in fellows],
@@ -422,7 +427,7 @@
         running.say(f"begin {begin}\n")
     changed = next(party for party in parties if party.terms.name == CHANGED)
     changes = Changes(fellows, seed, day.agreement.a_second, list(changed.servers or ()), begin,
-                      begin + int((day.seconds - 1) * SECOND))
+                      begin + int((day.seconds - 1) * SECOND if day.agreement.peers else 0))
     changes.start()
     follow(day, begin, Troubles(day, seed, fellows, between).events, list(fellows), children, progress)
     between.heal()
@@ -433,11 +438,12 @@
     changes.join(RESOLVED_WITHIN + 10)
     if changes.fault or changes.is_alive():
         raise PlayError(f"the changes ended: {changes.fault or 'not in their time'}")
-    settled(fellows)
-    for made in changes.made:
-        if not made.status:
-            changes.resolve(made, RESOLVED_WITHIN)
-    settled(fellows)
+    if day.agreement.peers:
+        settled(fellows)
+        for made in changes.made:
+            if not made.status:
+                changes.resolve(made, RESOLVED_WITHIN)
+        settled(fellows)
     histories = {fellow.name: _history(fellow) for fellow in fellows}
     for fellow in fellows:
         fellow.finish()
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -161,6 +161,7 @@
     a_second: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # changes
     lease_ms: Count = 1000
     alone: Literal["stop", "go-on"] = "stop"
+    peers: bool = True  # without, each member is a service by itself, and nothing is changed: for what peers cost
     troubles: tuple[Trouble, ...] = ()
 
 
@@ -240,6 +241,8 @@
     for i, trouble in enumerate(day.agreement.troubles):
         if trouble.end <= trouble.start:
             return f"agreement.troubles[{i}].end: {trouble.end} is not after the start"
+        if not day.agreement.peers:
+            return f"agreement.troubles[{i}]: are between members, and without peers there are none"
     return _tenants_fault(day)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,9 +5,12 @@
 fault that all of this stands against.
 """
 
+import json
 import shutil
 import socket
 import sqlite3
+import subprocess
+import sys
 import threading
 import time
 from collections.abc import Iterator
@@ -18,7 +21,7 @@
 import pytest
 
 from tests.fleet_helper import READ, Fellow, Fleet, until
-from tests.hosted_helper import Hosted
+from tests.hosted_helper import ROOT, Hosted
 from tests.test_hosted import Host
 
 VALUE = b"VA 2 Oi1\r\nhi\r\n"
@@ -411,6 +414,26 @@
     assert fleet.same() == version
 
 
+def test_the_command_line_shows_the_fleet(fleet: Fleet, sur: int) -> None:
+    leader = fleet.leader()
+    follower = fleet.others(leader)[0]
+    follower.kill()
+    suspend(fleet, leader)
+
+    def admin(*words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run([sys.executable, "-m", "ternquay", "admin", "--url", f"http://{leader.api}", "--token",
+                               leader.operator, *words], cwd=ROOT, capture_output=True, text=True, timeout=30)
+
+    until(lambda: "suspected" in admin("fleet").stdout, 10)
+    table = admin("fleet").stdout.splitlines()
+    assert f"test as {leader.name} sees it: led by {leader.name}, term" in table[-1] and "version 2" in table[-1]
+    told = json.loads(admin("--json", "fleet").stdout)
+    assert {row["name"]: row["reach"] for row in told["members"]}[follower.name] == "suspected"
+    assert told["leader"] == leader.name and told["version"] == 2
+    wrong = admin("fleet", "leave", "nobody")
+    assert wrong.returncode == 2 and "nobody is no member" in wrong.stderr
+
+
 def test_strangers_bytes_end_nothing(fleet: Fleet, sur: int) -> None:
     one = fleet["a"]
     place = fleet.between.places["a"]
