Move: hosted/ grouped by what it is for; no change of behaviour

Need: hosted/ lay flat with 24 files. administration/ (calls, keys, TLS, plan, client, changes), tenants/ (documents, registry, a tenant and how it runs), shared/ (fairness, front, loop), fleet/ (member, store). Imports follow; nothing else was touched.

--- a/ternquay/cli.py
+++ b/ternquay/cli.py
@@ -91,7 +91,7 @@
 def admin(context: typer.Context) -> None:
     """The administration API of a hosted service."""
     with service_in_a_line():
-        from ternquay.hosted.admin import app as commands
+        from ternquay.hosted.administration.admin import app as commands
     commands(args=context.args, prog_name="ternquay admin")
 
 
--- a/ternquay/hosted/admin.py
+++ b/ternquay/hosted/administration/admin.py
@@ -15,12 +15,12 @@
 
 import typer
 
-from ternquay.hosted import keys as tokens
-from ternquay.hosted.caller import BAD, Caller, CallFailed, Target
-from ternquay.hosted.documents import TenantDocument, plain, read
-from ternquay.hosted.plan import Step, planned
+from ternquay.hosted.administration import keys as tokens
+from ternquay.hosted.administration.caller import BAD, Caller, CallFailed, Target
+from ternquay.hosted.administration.plan import Step, planned
 from ternquay.hosted.service import ListedDocument, ServiceError, listed, read_tables
-from ternquay.hosted.tenant import Unfit
+from ternquay.hosted.tenants.documents import TenantDocument, plain, read
+from ternquay.hosted.tenants.tenant import Unfit
 
 DIFFERS = 7
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="The administration API of a hosted service.")
--- a/ternquay/hosted/api.py
+++ b/ternquay/hosted/administration/api.py
@@ -12,10 +12,10 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from ternquay.hosted import documents as d
-from ternquay.hosted import keys
-from ternquay.hosted.keys import Denied, Who
-from ternquay.hosted.registry import (
+from ternquay.hosted.administration import keys
+from ternquay.hosted.administration.keys import Denied, Who
+from ternquay.hosted.tenants import documents as d
+from ternquay.hosted.tenants.registry import (
     Change,
     Entry,
     Make,
@@ -28,7 +28,7 @@
     SetState,
     Stale,
 )
-from ternquay.hosted.tenant import Key, Scope, Server, State, Tenant, Unfit
+from ternquay.hosted.tenants.tenant import Key, Scope, Server, State, Tenant, Unfit
 
 SECOND = 1_000_000_000
 PAGE, PAGE_MOST, WAIT_MOST = 50, 200, 60
@@ -328,7 +328,7 @@
         return Look("join", tenant=call.path.rpartition("/")[2])
 
     def _get_openapi(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
-        from ternquay.hosted.openapi import description
+        from ternquay.hosted.administration.openapi import description
         return Reply(200, description())
 
     # ---- changing ----
--- a/ternquay/hosted/changes.py
+++ b/ternquay/hosted/administration/changes.py
@@ -18,10 +18,10 @@
 from twisted.python.threadpool import ThreadPool
 
 from ternquay.consensus.fate import NotNow, Nowhere, Unknown
-from ternquay.hosted.api import Api, Call, Look, Proposal, Reply, problem, tag
-from ternquay.hosted.registry import Registry, Remove
+from ternquay.hosted.administration.api import Api, Call, Look, Proposal, Reply, problem, tag
 from ternquay.hosted.store import Answered, Commit, Logged, Noted, Store, StoreError, StoreUnsure
-from ternquay.hosted.tenant import Unfit
+from ternquay.hosted.tenants.registry import Registry, Remove
+from ternquay.hosted.tenants.tenant import Unfit
 
 SECOND = 1_000_000_000
 WAITING_MOST, WATCHES_MOST, NOTES_MOST = 64, 64, 1000
--- a/ternquay/hosted/http.py
+++ b/ternquay/hosted/administration/http.py
@@ -12,12 +12,12 @@
 from loguru import logger
 from twisted.internet.error import CannotListenError
 
-from ternquay.hosted.api import Call, Reply, problem
-from ternquay.hosted.changes import Keeper
-from ternquay.hosted.documents import place_text
-from ternquay.hosted.fairness import SECOND, Bucket
+from ternquay.hosted.administration.api import Call, Reply, problem
+from ternquay.hosted.administration.changes import Keeper
 from ternquay.hosted.service import ApiDocument, Service
-from ternquay.hosted.tenant import Unfit
+from ternquay.hosted.shared.fairness import SECOND, Bucket
+from ternquay.hosted.tenants.documents import place_text
+from ternquay.hosted.tenants.tenant import Unfit
 from ternquay.net.http import CallIn, CallLimits, CallPort, Channel
 
 QUERY_MOST = 1024
@@ -92,7 +92,7 @@
         assert where is not None
         try:
             if self.api.tls is not None:
-                from ternquay.hosted.tls import Certificate
+                from ternquay.hosted.administration.tls import Certificate
                 self.certificate = Certificate(self.api, Path(self.service.path).parent)
                 self.port = self.reactor.listenSSL(where.port, self, self.certificate, 64, where.host)
             else:
--- a/ternquay/hosted/keys.py
+++ b/ternquay/hosted/administration/keys.py
@@ -11,8 +11,8 @@
 from hmac import compare_digest
 from secrets import token_urlsafe
 
-from ternquay.hosted.registry import Registry
-from ternquay.hosted.tenant import Key, Scope
+from ternquay.hosted.tenants.registry import Registry
+from ternquay.hosted.tenants.tenant import Key, Scope
 
 TOKEN = re.compile(r"tq1\.(-|[a-z][a-z0-9-]{0,47})\.([a-z][a-z0-9-]{0,47})\.([A-Za-z0-9_-]{43})")
 NOBODY = bytes(32)
--- a/ternquay/hosted/openapi.py
+++ b/ternquay/hosted/administration/openapi.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from ternquay import VERSION
-from ternquay.hosted.api import ROUTES, Route
-from ternquay.hosted.documents import TenantDocument
+from ternquay.hosted.administration.api import ROUTES, Route
+from ternquay.hosted.tenants.documents import TenantDocument
 
 PROBLEM = {
     "type": "object", "required": ["type", "title", "status", "detail"],
--- a/ternquay/hosted/plan.py
+++ b/ternquay/hosted/administration/plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ternquay.hosted.documents import TenantDocument, plain
+from ternquay.hosted.tenants.documents import TenantDocument, plain
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/ternquay/hosted/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A hosted service as a member of a fleet (docs/agreement.md)."""
--- a/ternquay/hosted/fleet.py
+++ b/ternquay/hosted/fleet/member.py
@@ -26,12 +26,12 @@
 from ternquay.consensus.fate import NotNow, Nowhere, Unknown
 from ternquay.consensus.founding import Founding
 from ternquay.consensus.messages import Member, Unfitness, decoded, encoded
-from ternquay.hosted.api import Call, Reply, problem
-from ternquay.hosted.fleet_store import Applied, FleetStore, Forgot, Founded, Job, Life, carried_of
-from ternquay.hosted.registry import Entry, Registry
+from ternquay.hosted.administration.api import Call, Reply, problem
+from ternquay.hosted.fleet.store import Applied, FleetStore, Forgot, Founded, Job, Life, carried_of
 from ternquay.hosted.service import Fellows
 from ternquay.hosted.store import Answered, Commit, Logged, Noted, StoreError, kept, unkept
-from ternquay.hosted.tenant import Unfit
+from ternquay.hosted.tenants.registry import Entry, Registry
+from ternquay.hosted.tenants.tenant import Unfit
 from ternquay.peers.frames import VERSION, Dropped, Frame, Marks, What, opened, sealed
 from ternquay.peers.links import Links
 from ternquay.peers.members import Members
--- a/ternquay/hosted/fleet_store.py
+++ b/ternquay/hosted/fleet/store.py
@@ -16,9 +16,9 @@
 from ternquay.consensus.core import Kept, Write
 from ternquay.consensus.log import Log
 from ternquay.consensus.messages import Entry, Kind, Roster
-from ternquay.hosted.registry import Entry as Tenant
-from ternquay.hosted.registry import Registry
 from ternquay.hosted.store import ANSWERS_MOST, Commit, Store, StoreError, unkept
+from ternquay.hosted.tenants.registry import Entry as Tenant
+from ternquay.hosted.tenants.registry import Registry
 from ternquay.peers.members import COUNTER
 
 TABLES = """
--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -13,14 +13,14 @@
 from twisted.logger import globalLogPublisher
 
 from ternquay.hosted import logs
-from ternquay.hosted.fairness import Lent
-from ternquay.hosted.fairness import Part as LentPart
-from ternquay.hosted.ledger import Ledger
-from ternquay.hosted.loop import Loop
-from ternquay.hosted.registry import Change, Make, NotThere, Registry, Remove, Replace, SetState, Stale
 from ternquay.hosted.service import Service, ServiceError, read_service
-from ternquay.hosted.tenancy import Common, Prepared, Tenancy, bound
-from ternquay.hosted.tenant import Guarantee, State, Tenant, Unfit
+from ternquay.hosted.shared.fairness import Lent
+from ternquay.hosted.shared.fairness import Part as LentPart
+from ternquay.hosted.shared.loop import Loop
+from ternquay.hosted.tenants.ledger import Ledger
+from ternquay.hosted.tenants.registry import Change, Make, NotThere, Registry, Remove, Replace, SetState, Stale
+from ternquay.hosted.tenants.tenancy import Common, Prepared, Tenancy, bound
+from ternquay.hosted.tenants.tenant import Guarantee, State, Tenant, Unfit
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.serve import MonotonicReactor, pass_on
 from ternquay.net.turn import Turn
@@ -303,14 +303,14 @@
 
     def _with_store(self) -> None:
         # Only here, as without a store none of it is even loaded.
-        from ternquay.hosted.api import Api
-        from ternquay.hosted.changes import Keeper, Stored
+        from ternquay.hosted.administration.api import Api
+        from ternquay.hosted.administration.changes import Keeper, Stored
         from ternquay.hosted.store import Store, StoreError
         fellows, life = self.service.fellows, None
         store: Store
         try:
             if fellows is not None:
-                from ternquay.hosted.fleet_store import FleetStore
+                from ternquay.hosted.fleet.store import FleetStore
                 store = member = FleetStore(self.service.store)
                 life = member.begin_life()
             else:
@@ -325,7 +325,7 @@
         self.keeper = Keeper(self.reactor, Api(self.service.operators), self.host, self.stored, time.time_ns)
         self.host.remove = self.keeper.remove
         if fellows is not None:
-            from ternquay.hosted.fleet import Fleet
+            from ternquay.hosted.fleet.member import Fleet
             assert life is not None
             self.fleet = Fleet(self.reactor, fellows, self.host, self.stored, member, life)
             self.keeper.join(self.fleet)
@@ -337,7 +337,7 @@
                 self.fleet.begin()  # before any tenant takes anything
             self.host.begin()
             if self.service.api is not None:
-                from ternquay.hosted.http import ApiPort
+                from ternquay.hosted.administration.http import ApiPort
                 self.api = ApiPort(self.reactor, self.service, self.keeper)
                 self.api.begin()
         except Unfit as fault:
--- a/ternquay/hosted/service.py
+++ b/ternquay/hosted/service.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ternquay.hosted.documents import (
+from ternquay.hosted.tenants.documents import (
     Document,
     Millis,
     Name,
@@ -23,9 +23,9 @@
     state_of,
     tenant_of,
 )
-from ternquay.hosted.registry import Make, Registry
-from ternquay.hosted.tenancy import Process
-from ternquay.hosted.tenant import Key, Place, Scope, Tenant, Unfit, placed
+from ternquay.hosted.tenants.registry import Make, Registry
+from ternquay.hosted.tenants.tenancy import Process
+from ternquay.hosted.tenants.tenant import Key, Place, Scope, Tenant, Unfit, placed
 from ternquay.net.launch import descriptors
 from ternquay.peers.frames import KEY_LEAST
 
--- /dev/null
+++ b/ternquay/hosted/shared/__init__.py
@@ -0,0 +1,1 @@
+"""The one loop, and what tenants share of it."""
--- a/ternquay/hosted/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -9,8 +9,8 @@
 from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
-from ternquay.hosted.fairness import Dues, Lent
-from ternquay.hosted.loop import PIECE, Loop
+from ternquay.hosted.shared.fairness import Dues, Lent
+from ternquay.hosted.shared.loop import PIECE, Loop
 from ternquay.net import meta
 from ternquay.net.door import Door
 from ternquay.net.front import ClientConnection, Front, Owed
--- a/ternquay/hosted/loop.py
+++ b/ternquay/hosted/shared/loop.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from ternquay.hosted.fairness import Ceiling, Turns
+from ternquay.hosted.shared.fairness import Ceiling, Turns
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.turn import Turn
 
--- a/ternquay/hosted/store.py
+++ b/ternquay/hosted/store.py
@@ -17,9 +17,9 @@
 
 import msgspec
 
-from ternquay.hosted.documents import KeptKey, KeptTenant, document_of, state_of, tenant_of
-from ternquay.hosted.registry import Entry, Registry
-from ternquay.hosted.tenant import Key, Scope, Tenant, Unfit
+from ternquay.hosted.tenants.documents import KeptKey, KeptTenant, document_of, state_of, tenant_of
+from ternquay.hosted.tenants.registry import Entry, Registry
+from ternquay.hosted.tenants.tenant import Key, Scope, Tenant, Unfit
 
 FORMAT = 1
 SECOND = 1_000_000_000
--- a/ternquay/hosted/documents.py
+++ b/ternquay/hosted/tenants/documents.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ternquay import model as m
-from ternquay.hosted.tenant import (
+from ternquay.hosted.tenants.tenant import (
     Guarantee,
     NamedProfile,
     Place,
--- a/ternquay/hosted/ledger.py
+++ b/ternquay/hosted/tenants/ledger.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from ternquay import model as m
-from ternquay.hosted.tenant import Place
+from ternquay.hosted.tenants.tenant import Place
 
 MS, SECOND = 1_000_000, 1_000_000_000
 FAILS, OUT_FIRST, OUT_MOST = 4, SECOND, 8 * SECOND
--- a/ternquay/hosted/registry.py
+++ b/ternquay/hosted/tenants/registry.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 
-from ternquay.hosted.tenant import Key, Place, Server, State, Tenant, TenantLimits, Unfit, fit
+from ternquay.hosted.tenants.tenant import Key, Place, Server, State, Tenant, TenantLimits, Unfit, fit
 
 TENANTS_MOST = 1000
 PARTS = ("cpu", "sockets", "memory")
--- a/ternquay/hosted/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -10,12 +10,12 @@
 
 from ternquay import model as m
 from ternquay.facts import Names
-from ternquay.hosted.fairness import Dues, Lent
-from ternquay.hosted.front import CROWDING, TenantFront, TenantListener, TenantSockets
-from ternquay.hosted.ledger import Ledger, Named
-from ternquay.hosted.loop import Loop
-from ternquay.hosted.registry import Entry
-from ternquay.hosted.tenant import Place, Server, State, Tenant, Unfit
+from ternquay.hosted.shared.fairness import Dues, Lent
+from ternquay.hosted.shared.front import CROWDING, TenantFront, TenantListener, TenantSockets
+from ternquay.hosted.shared.loop import Loop
+from ternquay.hosted.tenants.ledger import Ledger, Named
+from ternquay.hosted.tenants.registry import Entry
+from ternquay.hosted.tenants.tenant import Place, Server, State, Tenant, Unfit
 from ternquay.net.discovery import Discovery
 from ternquay.net.door import Door, Outgoing
 from ternquay.net.limits import SECOND, Limits, fill
--- a/ternquay/net/http.py
+++ b/ternquay/net/http.py
@@ -2,7 +2,7 @@
 
 Lines, headers, bodies, connections and the time of a half call are bounded; what passes a bound is told so and
 closed, a body by its length before it comes. Who stands behind the calls, and what an answer looks like, is the
-port's: the operators' address (net/management.py), the administration API (hosted/http.py).
+port's: the operators' address (net/management.py), the administration API (hosted/administration/http.py).
 """
 
 from collections.abc import Mapping
--- a/ternquay/rig/agree.py
+++ b/ternquay/rig/agree.py
@@ -22,8 +22,8 @@
 
 import msgspec
 
-from ternquay.hosted import keys
-from ternquay.hosted.caller import Caller, CallFailed, Target
+from ternquay.hosted.administration import keys
+from ternquay.hosted.administration.caller import Caller, CallFailed, Target
 from ternquay.rig import records
 from ternquay.rig.between import Between
 from ternquay.rig.child import Plan
--- a/ternquay/rig/changer.py
+++ b/ternquay/rig/changer.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ternquay.hosted.caller import Caller, CallFailed, Target
+from ternquay.hosted.administration.caller import Caller, CallFailed, Target
 from ternquay.rig import records
 from ternquay.rig.child import Plan
 from ternquay.rig.terms import SECOND, ChangeTerms
--- a/ternquay/rig/size.py
+++ b/ternquay/rig/size.py
@@ -14,7 +14,7 @@
 
 import psutil
 
-from ternquay.hosted.caller import Caller, CallFailed, Target
+from ternquay.hosted.administration.caller import Caller, CallFailed, Target
 from ternquay.rig import records
 from ternquay.rig.child import Plan
 from ternquay.rig.measure import percentile
--- a/tests/fleet_helper.py
+++ b/tests/fleet_helper.py
@@ -32,7 +32,7 @@
 
     @staticmethod
     def digest(token: str) -> str:
-        from ternquay.hosted import keys
+        from ternquay.hosted.administration import keys
         return keys.digest_of(token).hex()
 
     def stop(self) -> None:
@@ -53,7 +53,7 @@
 
 class Fleet:
     def __init__(self, folder: Path, names: str = "abc", more: str = "", odd: str = "") -> None:
-        from ternquay.hosted import keys
+        from ternquay.hosted.administration import keys
         places = {name: Hosted.place(free_place("127.0.0.1")) for name in names}
         self.between = Between(places)
         operator = keys.made("", "main")
--- a/tests/fleet_launcher.py
+++ b/tests/fleet_launcher.py
@@ -16,7 +16,7 @@
 
 def die(folder: Path) -> None:
     """Steps are counted from a proposal at the leader on: each message, each write begun and done, each outcome."""
-    from ternquay.hosted.fleet import Fleet
+    from ternquay.hosted.fleet.member import Fleet
     file, count = folder / "step", {"left": 0}
 
     def step() -> None:
@@ -57,7 +57,7 @@
 
 
 def slow(folder: Path) -> None:
-    from ternquay.hosted import fleet
+    from ternquay.hosted.fleet import member as fleet
     real, began = fleet.clock, fleet.clock()
     fleet.Fleet.__init__.__defaults__ = (lambda: began + (real() - began) // 3,)
 
--- a/tests/hosted_helper.py
+++ b/tests/hosted_helper.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from ternquay.hosted import keys
+from ternquay.hosted.administration import keys
 from ternquay.rig.play import free_place
 
 ROOT = Path(__file__).parents[1]
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ternquay.hosted.fairness import SECOND, Bucket, Lent, Part, Turns
+from ternquay.hosted.shared.fairness import SECOND, Bucket, Lent, Part, Turns
 
 MS = 1_000_000
 
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -23,8 +23,8 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
-from ternquay.hosted import keys
-from ternquay.hosted.registry import Registry
+from ternquay.hosted.administration import keys
+from ternquay.hosted.tenants.registry import Registry
 from ternquay.rig.play import free_place
 from tests.hosted_helper import ROOT, Hosted, descriptors, document
 
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -9,16 +9,16 @@
 
 from ternquay import model as m
 from ternquay.balance import Balancer
-from ternquay.hosted import keys
-from ternquay.hosted.api import ROUTES, Api, Call, Look, Proposal, Reply
-from ternquay.hosted.documents import TenantDocument, decoded, document_of, plain, read, tenant_of
-from ternquay.hosted.fairness import SECOND, Ceiling, Dues, Lent, Part, Turns
-from ternquay.hosted.ledger import FAILS, GONE_KEPT, Ledger, Named
-from ternquay.hosted.loop import Loop
-from ternquay.hosted.openapi import description
-from ternquay.hosted.plan import planned
-from ternquay.hosted.registry import Make, Registry
-from ternquay.hosted.tenant import Guarantee, Key, Place, Scope, Unfit
+from ternquay.hosted.administration import keys
+from ternquay.hosted.administration.api import ROUTES, Api, Call, Look, Proposal, Reply
+from ternquay.hosted.administration.openapi import description
+from ternquay.hosted.administration.plan import planned
+from ternquay.hosted.shared.fairness import SECOND, Ceiling, Dues, Lent, Part, Turns
+from ternquay.hosted.shared.loop import Loop
+from ternquay.hosted.tenants.documents import TenantDocument, decoded, document_of, plain, read, tenant_of
+from ternquay.hosted.tenants.ledger import FAILS, GONE_KEPT, Ledger, Named
+from ternquay.hosted.tenants.registry import Make, Registry
+from ternquay.hosted.tenants.tenant import Guarantee, Key, Place, Scope, Unfit
 from ternquay.net.turn import Turn
 from tests.helper import START, T0
 from tests.hosted_helper import document
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ternquay.hosted.registry import (
+from ternquay.hosted.tenants.registry import (
     Change,
     Make,
     NotThere,
@@ -18,7 +18,7 @@
     SetState,
     Stale,
 )
-from ternquay.hosted.tenant import (
+from ternquay.hosted.tenants.tenant import (
     Guarantee,
     Key,
     NamedProfile,
--- a/tests/test_review_stops.py
+++ b/tests/test_review_stops.py
@@ -21,12 +21,12 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
-from ternquay.hosted.api import Call, Reply
+from ternquay.hosted.administration.api import Call, Reply
 from ternquay.hosted.host import Host, Running
-from ternquay.hosted.registry import Make, Registry, Remove, Replace, SetState
 from ternquay.hosted.service import ServiceError, read_service
 from ternquay.hosted.store import Store
-from ternquay.hosted.tenant import Place, Server, State, TenantLimits
+from ternquay.hosted.tenants.registry import Make, Registry, Remove, Replace, SetState
+from ternquay.hosted.tenants.tenant import Place, Server, State, TenantLimits
 from ternquay.rig.play import free_place
 from tests.hosted_helper import ROOT, Hosted, document
 from tests.test_hosted_parts import SMALL
@@ -347,7 +347,7 @@
 
 
 def test_a_plan_is_not_made_of_a_file_that_is_cut_off(tmp_path: Path) -> None:
-    from ternquay.hosted.admin import wanted
+    from ternquay.hosted.administration.admin import wanted
     file = tmp_path / "tenants.toml"
     file.write_text(TENANT.format("uno", "127.0.0.1:7001"))
     with pytest.raises(ServiceError, match="end"):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,12 +14,12 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import Clock
 
-from ternquay.hosted import keys
-from ternquay.hosted.api import Api, Call, Reply
-from ternquay.hosted.changes import Keeper
-from ternquay.hosted.registry import Make, Registry
+from ternquay.hosted.administration import keys
+from ternquay.hosted.administration.api import Api, Call, Reply
+from ternquay.hosted.administration.changes import Keeper
 from ternquay.hosted.store import Commit, Logged, Noted, Store, StoreError
-from ternquay.hosted.tenant import Key, Scope
+from ternquay.hosted.tenants.registry import Make, Registry
+from ternquay.hosted.tenants.tenant import Key, Scope
 from tests.hosted_helper import document
 from tests.test_hosted_parts import SMALL
 from tests.test_registry import tenant
