--- a/ternquay/hosted/administration/api.py
+++ b/ternquay/hosted/administration/api.py
@@ -14,6 +14,8 @@
 
 from ternquay.hosted.administration import keys
 from ternquay.hosted.administration.keys import Denied, Who
+from ternquay.hosted.administration.openapi import description
+from ternquay.hosted.administration.routes import ROUTES, Route
 from ternquay.hosted.tenants import documents as d
 from ternquay.hosted.tenants.registry import (
     Change,
@@ -34,7 +36,6 @@
 PAGE, PAGE_MOST, WAIT_MOST = 50, 200, 60
 SEGMENT = re.compile(r"[a-z0-9][a-z0-9.-]{0,63}")
 TAG = re.compile(r'(?:W/)?"([0-9]{1,15})"')
-READERS, ADMINISTRATORS, OPERATORS = Scope.READER, Scope.ADMINISTRATOR, Scope.OPERATOR
 RANKS = {Scope.READER: 0, Scope.ADMINISTRATOR: 1, Scope.OPERATOR: 2}
 
 
@@ -109,63 +110,6 @@
     return {"etag": f'"{version}"'}
 
 
-@dataclass(slots=True, frozen=True)
-class Route:
-    """One operation: what it is called, who may, and which documents go in and out."""
-
-    method: str
-    path: str
-    name: str
-    scope: Scope
-    line: str
-    status: int = 200
-    takes: type | None = None
-    query: tuple[str, ...] = ()
-    changes: bool = False
-
-
-ROUTES = (
-    Route("GET", "/v1/tenants", "list_tenants", READERS, "Tenants, by name; one's own alone for a tenant's key",
-          query=("cursor", "limit")),
-    Route("POST", "/v1/tenants", "make_tenant", OPERATORS, "Takes a tenant in", 201, d.TenantDocument, changes=True),
-    Route("GET", "/v1/tenants/{tenant}", "get_tenant", READERS, "One tenant"),
-    Route("PUT", "/v1/tenants/{tenant}", "replace_tenant", OPERATORS, "All of a tenant but its keys and state",
-          takes=d.TenantDocument, changes=True),
-    Route("DELETE", "/v1/tenants/{tenant}", "end_tenant", OPERATORS, "Drains a tenant; then it is gone", 202,
-          changes=True),
-    Route("GET", "/v1/tenants/{tenant}/servers", "get_servers", READERS, "Its cache hosts"),
-    Route("PUT", "/v1/tenants/{tenant}/servers", "set_servers", ADMINISTRATORS, "All of its cache hosts",
-          takes=d.ServersDocument, changes=True),
-    Route("PUT", "/v1/tenants/{tenant}/servers/{server}", "set_server", ADMINISTRATORS, "One cache host, new or not",
-          takes=d.ServerDocument, changes=True),
-    Route("DELETE", "/v1/tenants/{tenant}/servers/{server}", "remove_server", ADMINISTRATORS,
-          "One cache host less", changes=True),
-    Route("GET", "/v1/tenants/{tenant}/limits", "get_limits", READERS, "Its limits"),
-    Route("PUT", "/v1/tenants/{tenant}/limits", "set_limits", OPERATORS, "Its limits", takes=d.LimitsDocument,
-          changes=True),
-    Route("GET", "/v1/tenants/{tenant}/profiles", "get_profiles", READERS, "Its profiles"),
-    Route("PUT", "/v1/tenants/{tenant}/profiles", "set_profiles", ADMINISTRATORS, "Its profiles",
-          takes=d.ProfilesDocument, changes=True),
-    Route("GET", "/v1/tenants/{tenant}/state", "get_state", READERS, "Its state"),
-    Route("PUT", "/v1/tenants/{tenant}/state", "set_state", OPERATORS, "Suspends, resumes or ends it",
-          takes=d.StateDocument, changes=True),
-    Route("GET", "/v1/tenants/{tenant}/keys", "list_keys", ADMINISTRATORS, "Its keys, without their tokens"),
-    Route("POST", "/v1/tenants/{tenant}/keys", "make_key", ADMINISTRATORS, "A new key; its token is shown this once",
-          201, d.KeyDocument, changes=True),
-    Route("POST", "/v1/tenants/{tenant}/keys/{key}/rotate", "rotate_key", ADMINISTRATORS,
-          "A new key of the same scope; the old one goes on for the overlap", 201, d.RotationDocument, changes=True),
-    Route("DELETE", "/v1/tenants/{tenant}/keys/{key}", "remove_key", ADMINISTRATORS, "A key less", changes=True),
-    Route("GET", "/v1/changes", "list_changes", READERS, "The change log after a version; waits for news if told to",
-          query=("after", "limit", "wait_s")),
-    Route("GET", "/v1/audit", "list_audit", OPERATORS, "Changes and denied calls", query=("after", "limit")),
-    Route("GET", "/v1/process", "get_process", OPERATORS, "What the process and each tenant use"),
-    Route("GET", "/v1/fleet", "get_fleet", OPERATORS, "The fleet that the process is a member of, as it sees it"),
-    Route("DELETE", "/v1/fleet/{member}", "leave_fleet", OPERATORS, "Takes a member out of the fleet, for good", 202),
-    Route("PUT", "/v1/fleet/{member}", "join_fleet", OPERATORS, "Lets a member in again that was taken out", 202),
-    Route("GET", "/v1/openapi.json", "get_openapi", READERS, "This API's description"),
-)
-
-
 def found_route(method: str, path: str) -> tuple[Route, dict[str, str]]:
     """The route of a path as it came: nothing is decoded, as no name needs it. Raises Turned."""
     parts = path.split("/")[1:]
@@ -328,7 +272,6 @@
         return Look("join", tenant=call.path.rpartition("/")[2])
 
     def _get_openapi(self, call: Call, registry: Registry, who: Who, now: int, told: None) -> Outcome:
-        from ternquay.hosted.administration.openapi import description
         return Reply(200, description())
 
     # ---- changing ----
--- a/ternquay/hosted/administration/openapi.py
+++ b/ternquay/hosted/administration/openapi.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ternquay import VERSION
-from ternquay.hosted.administration.api import ROUTES, Route
+from ternquay.hosted.administration.routes import ROUTES, Route
 from ternquay.hosted.tenants.documents import TenantDocument
 
 PROBLEM = {
--- /dev/null
+++ b/ternquay/hosted/administration/routes.py
@@ -0,0 +1,65 @@
+"""The operations of the administration API: what each is called, who may, and which documents go in and out."""
+
+from dataclasses import dataclass
+
+from ternquay.hosted.tenants import documents as d
+from ternquay.hosted.tenants.tenant import Scope
+
+READERS, ADMINISTRATORS, OPERATORS = Scope.READER, Scope.ADMINISTRATOR, Scope.OPERATOR
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """One operation: what it is called, who may, and which documents go in and out."""
+
+    method: str
+    path: str
+    name: str
+    scope: Scope
+    line: str
+    status: int = 200
+    takes: type | None = None
+    query: tuple[str, ...] = ()
+    changes: bool = False
+
+
+ROUTES = (
+    Route("GET", "/v1/tenants", "list_tenants", READERS, "Tenants, by name; one's own alone for a tenant's key",
+          query=("cursor", "limit")),
+    Route("POST", "/v1/tenants", "make_tenant", OPERATORS, "Takes a tenant in", 201, d.TenantDocument, changes=True),
+    Route("GET", "/v1/tenants/{tenant}", "get_tenant", READERS, "One tenant"),
+    Route("PUT", "/v1/tenants/{tenant}", "replace_tenant", OPERATORS, "All of a tenant but its keys and state",
+          takes=d.TenantDocument, changes=True),
+    Route("DELETE", "/v1/tenants/{tenant}", "end_tenant", OPERATORS, "Drains a tenant; then it is gone", 202,
+          changes=True),
+    Route("GET", "/v1/tenants/{tenant}/servers", "get_servers", READERS, "Its cache hosts"),
+    Route("PUT", "/v1/tenants/{tenant}/servers", "set_servers", ADMINISTRATORS, "All of its cache hosts",
+          takes=d.ServersDocument, changes=True),
+    Route("PUT", "/v1/tenants/{tenant}/servers/{server}", "set_server", ADMINISTRATORS, "One cache host, new or not",
+          takes=d.ServerDocument, changes=True),
+    Route("DELETE", "/v1/tenants/{tenant}/servers/{server}", "remove_server", ADMINISTRATORS,
+          "One cache host less", changes=True),
+    Route("GET", "/v1/tenants/{tenant}/limits", "get_limits", READERS, "Its limits"),
+    Route("PUT", "/v1/tenants/{tenant}/limits", "set_limits", OPERATORS, "Its limits", takes=d.LimitsDocument,
+          changes=True),
+    Route("GET", "/v1/tenants/{tenant}/profiles", "get_profiles", READERS, "Its profiles"),
+    Route("PUT", "/v1/tenants/{tenant}/profiles", "set_profiles", ADMINISTRATORS, "Its profiles",
+          takes=d.ProfilesDocument, changes=True),
+    Route("GET", "/v1/tenants/{tenant}/state", "get_state", READERS, "Its state"),
+    Route("PUT", "/v1/tenants/{tenant}/state", "set_state", OPERATORS, "Suspends, resumes or ends it",
+          takes=d.StateDocument, changes=True),
+    Route("GET", "/v1/tenants/{tenant}/keys", "list_keys", ADMINISTRATORS, "Its keys, without their tokens"),
+    Route("POST", "/v1/tenants/{tenant}/keys", "make_key", ADMINISTRATORS, "A new key; its token is shown this once",
+          201, d.KeyDocument, changes=True),
+    Route("POST", "/v1/tenants/{tenant}/keys/{key}/rotate", "rotate_key", ADMINISTRATORS,
+          "A new key of the same scope; the old one goes on for the overlap", 201, d.RotationDocument, changes=True),
+    Route("DELETE", "/v1/tenants/{tenant}/keys/{key}", "remove_key", ADMINISTRATORS, "A key less", changes=True),
+    Route("GET", "/v1/changes", "list_changes", READERS, "The change log after a version; waits for news if told to",
+          query=("after", "limit", "wait_s")),
+    Route("GET", "/v1/audit", "list_audit", OPERATORS, "Changes and denied calls", query=("after", "limit")),
+    Route("GET", "/v1/process", "get_process", OPERATORS, "What the process and each tenant use"),
+    Route("GET", "/v1/fleet", "get_fleet", OPERATORS, "The fleet that the process is a member of, as it sees it"),
+    Route("DELETE", "/v1/fleet/{member}", "leave_fleet", OPERATORS, "Takes a member out of the fleet, for good", 202),
+    Route("PUT", "/v1/fleet/{member}", "join_fleet", OPERATORS, "Lets a member in again that was taken out", 202),
+    Route("GET", "/v1/openapi.json", "get_openapi", READERS, "This API's description"),
+)
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -10,9 +10,10 @@
 from ternquay import model as m
 from ternquay.balance import Balancer
 from ternquay.hosted.administration import keys
-from ternquay.hosted.administration.api import ROUTES, Api, Call, Look, Proposal, Reply
+from ternquay.hosted.administration.api import Api, Call, Look, Proposal, Reply
 from ternquay.hosted.administration.openapi import description
 from ternquay.hosted.administration.plan import planned
+from ternquay.hosted.administration.routes import ROUTES
 from ternquay.hosted.shared.fairness import SECOND, Ceiling, Dues, Lent, Part, Turns
 from ternquay.hosted.shared.loop import Loop
 from ternquay.hosted.tenants.documents import TenantDocument, decoded, document_of, plain, read, tenant_of
