--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -272,8 +272,11 @@
 
     def kill(self) -> None:
         life = self.lives[-1]
-        life.killed, life.ended = True, time.monotonic_ns()
         self.signal(signal.SIGKILL)
+        if self.running is not None:
+            # Its sockets take connections until it is really gone, which on a busy machine is 0.2 s later.
+            self.running.process.wait()
+        life.killed, life.ended = True, time.monotonic_ns()
 
     def ask_to_end(self) -> None:
         self.lives[-1].told_to_end = time.monotonic_ns()
