Founded in one step on disk; a change that can't be read keeps a member from taking for good

Found by reading: a member that died between writing the fleet's id and its members counted for nothing at every start; and one that could not read a change forgot that at its next try to adopt, and told its disk that all up to a later change was applied.

--- a/ternquay/hosted/fleet/member.py
+++ b/ternquay/hosted/fleet/member.py
@@ -123,6 +123,7 @@
         self.prepared: dict[int, tuple[str, Any]] = {}
         self.agreed: Registry = host.registry  # what is in force; the host may be behind, and takes nothing then
         self.unfit = ""  # why what is in force can't be had here
+        self.unread = ""  # what of it can't be read here: for good, and all that follows waits for it
         self.waiters: dict[tuple[int, int], Deferred[None]] = {}
         self.unsaved: dict[tuple[str, bytes], Answered] = {}  # answers that are not on disk yet
         self.passed: dict[int, tuple[str, Deferred[Reply]]] = {}  # to whom
@@ -135,6 +136,7 @@
 
     def _live(self, life: Life) -> None:
         now = self.clock()
+        self._unprepare()
         self.life, self.founded = life, life.founded
         self.me = Member(self.fellows.me, life.disk)
         self.core = Core(self.me, life.kept, self.figures, self.random, life.boot, now)
@@ -190,7 +192,7 @@
     # ---- whether a tx may be taken ----
 
     def wait(self, tenant: str) -> int:
-        if self.unfit or not self.core.may(self.clock()):
+        if self.unread or self.unfit or not self.core.may(self.clock()):
             return FENCED
         return HELD if tenant in self.held else 0
 
@@ -199,7 +201,7 @@
         if self.founding is not None:
             missing = ", ".join(self.founding.missing())
             return self.founding.conflict or f"the fleet isn't founded: {missing} not heard yet"
-        return self.unfit or self.core.why_not(self.clock())
+        return self.unread or self.unfit or self.core.why_not(self.clock())
 
     def _hold(self) -> None:
         names = set()
@@ -281,7 +283,7 @@
 
     def _begin_as(self, founded: Founded) -> None:
         self.founded, self.founding = founded, None
-        self._carry(founded)
+        self.jobs.append(founded)  # goes to disk with what the core writes for it, or neither does
         self.core.found(founded.roster, int(bool(founded.brings)), founded.brings == self.me.name, self.clock())
         logger.bind(fleet=founded.id).info("the fleet is founded, of {}", ", ".join(founded.roster.names()))
         self._drive()
@@ -370,6 +372,8 @@
         return Registry(MappingProxyType(tenants), commit.logged.version)
 
     def _outcome(self, one: Outcome) -> None:
+        if self.unread:
+            return
         waiting = self.waiters.pop((one.term, one.about), None)
         name, prepared = self.prepared.pop(one.about, ("", None))
         if not one.decided:
@@ -383,7 +387,7 @@
             commit = commit_of(_change.decode(one.body))
         except (StoreError, msgspec.DecodeError) as fault:
             # Written by a later version of the program: without it this one has nothing to take by.
-            self.unfit = f"a change can't be read here: {fault}"
+            self.unread = f"a change can't be read here: {fault}"
             logger.error("a change that is in force can't be read here; nothing is taken until the next start")
             return
         self._in_force(commit, prepared)
@@ -425,7 +429,7 @@
             self.agreed = carried_of(data).registry()
         except StoreError as fault:
             logger.bind(cause=str(fault)).error("what is in force can't be read here")
-            self.unfit = "what is in force can't be read here"
+            self.unread = "what is in force can't be read here"
             return
         self._unprepare()
         self._adopt()
