--- a/ternquay/hosted/administration/changes.py
+++ b/ternquay/hosted/administration/changes.py
@@ -281,6 +281,9 @@
             return Reply(200, {"audit": lines})
         until = self.clock() + look.wait
         while True:
+            if self.fleet is not None:
+                # Else the version below could be told without the lines up to it, and a watcher would pass them over.
+                yield self.fleet.flushed()
             changes = yield self.stored.do(self.stored.store.changes, look.after, look.most, look.tenant)
             left = until - self.clock()
             if changes or left <= 0 or len(self.watches) >= WATCHES_MOST or self.ended:
--- a/ternquay/hosted/fleet/member.py
+++ b/ternquay/hosted/fleet/member.py
@@ -128,6 +128,7 @@
         self.unsaved: dict[tuple[str, bytes], Answered] = {}  # answers that are not on disk yet
         self.passed: dict[int, tuple[str, Deferred[Reply]]] = {}  # to whom
         self.led = False  # as of the last look
+        self.flushes: list[Deferred[None]] = []
         self.carry_out: Callable[[Call], Deferred[Reply]] = lambda call: succeed(UNKNOWN)
         self.news: Callable[[], None] = lambda: None
         self.ended = False
@@ -167,6 +168,7 @@
     def end(self) -> None:
         self.ended = True
         self.links.end()
+        self._flush()
         for waiting in list(self.waiters.values()):
             waiting.errback(Unknown())
         for _, reply in list(self.passed.values()):
@@ -494,6 +496,21 @@
             self._drive()
         if not self.writing:
             self._write()
+        self._flush()
+
+    def flushed(self) -> "Deferred[None]":
+        """Once all that is in force here is on disk, or can't be."""
+        if not self.jobs or self.trouble or len(self.flushes) >= PASSED_MOST:
+            return succeed(None)
+        waiting: Deferred[None] = Deferred()
+        self.flushes.append(waiting)
+        return waiting
+
+    def _flush(self) -> None:
+        if not self.jobs or self.trouble or self.ended:
+            flushes, self.flushes = self.flushes, []
+            for waiting in flushes:
+                waiting.callback(None)
 
     def _forget(self, index: int) -> None:
         log = self.core.log
@@ -506,6 +523,7 @@
         """It says so, tries again, and meanwhile says nothing that would have to be on disk."""
         self.writing = False
         self._troubled(failure)
+        self._flush()
         self.reactor.callLater(DISK_AGAIN, lambda: None if self.writing else self._write())
 
     def _troubled(self, failure: Any) -> None:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -59,3 +59,19 @@
     one._outcome(Outcome(7, 6, 1, good, True, Unfitness()))
     assert one.wait("sur") > 0
     assert not [job for batch in [*disk.batches, one.jobs] for job in batch if isinstance(job, Applied)]
+
+
+def test_the_change_log_is_read_once_all_that_is_in_force_is_on_disk(tmp_path: Path) -> None:
+    """Read while a hundred changes were still to be written, it told their version and none of their lines."""
+    disk = Disk()
+    one = member(tmp_path, disk)
+    one._found()
+    told: list[None] = []
+    one.flushed().addCallback(told.append)
+    for at in range(10):
+        assert told == [] or not one.jobs
+        if at < len(disk.batches):
+            one._written(None, disk.batches[at])
+    assert told == [None] and not one.jobs
+    one.flushed().addCallback(told.append)
+    assert len(told) == 2
