A silent watch is noticed in time: shorter waits, a slack by measured lateness, asked again at once

At fault: net/limits.py, watch=min(60 s, MustAskIn / 2) and call=1.5 s; net/discovery.py _failed, which left a silent watch to the pause after a call that was turned away (balance.py _list_lost). Now net/follow.py, without I/O: a wait of 2 s at most, drawn; a slack by how late answers come (RFC 6298), 1 s at most; after a silence or a spoilt list the next call goes at once and is a short one, and is repeated each quarter of a second for 12 s; where lists are pushed calls are repeated within half of the grace.

--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -1,4 +1,7 @@
-"""Follows the list of cache hosts: one watch after the other, at once; a failed call ends the watching."""
+"""Follows the list of cache hosts: one watch after the other, at once; a failed call ends the watching.
+
+When the next call goes out, and how long it may take, is decided in net/follow.py.
+"""
 
 from typing import Any
 
@@ -12,6 +15,8 @@
 from zope.interface import implementer
 
 from ternquay.net.door import Door
+from ternquay.net.follow import Failure as Kind
+from ternquay.net.follow import Follow
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.listing import Address, ToldWrong, read_list
 
@@ -20,6 +25,18 @@
     """Discovery answered something else than a list."""
 
 
+class Spoilt(Exception):
+    """What discovery told can't be used; the text names the field."""
+
+
+class Silent(Exception):
+    """Nothing came, or not all of it, in the time that a call may take."""
+
+
+def silent(_: Any, patience: float) -> None:
+    raise Silent(f"silent, {patience:.2f} s after the call")
+
+
 @implementer(IAgentEndpointFactory)
 class Straight:
     """Connects to an address. Against the library's own way, which looks even an address up in a thread."""
@@ -74,7 +91,8 @@
         pool.maxPersistentPerHost = 1
         self.agent = Agent.usingEndpointFactory(reactor, Straight(reactor, where), pool)
         self.revision, self.called = -1, 0  # -1: no list of this address is known yet
-        self.out = self.ended = False
+        self.follow = Follow(limits, door.draw, not door.start.watch_list)
+        self.out = self.ended = False  # out: called, or about to be
         self.call: Deferred[None] | None = None
 
     def watch(self) -> None:
@@ -102,10 +120,11 @@
             return
         self.out, self.called = True, self.door.now()
         # The versions of one address need not be those of another: there the whole list comes first.
-        since = f"?index={self.revision}&wait={self.limits.watch // MS}" if self.revision >= 0 else ""
+        ask = self.follow.ask()
+        since = f"?index={self.revision}&wait={ask.wait // MS}" if self.revision >= 0 else ""
         url = (self.url + since).encode()
         called: Deferred[bytes] = self.agent.request(b"GET", url).addCallback(self._body)
-        called.addTimeout((self.limits.watch + self.limits.call) / SECOND, self.reactor)
+        called.addTimeout(ask.patience / SECOND, self.reactor, silent)
         self.call = called.addCallback(self._read).addErrback(self._failed)
 
     def _body(self, response: Any) -> "Deferred[bytes]":
@@ -123,16 +142,19 @@
         before = self.revision
         try:
             self.take(orjson.loads(body))
-        except Exception:
+        except Exception as fault:
             # What it told is lost, so that only the whole list says how things stand; it is taken at any revision.
             self.revision = -1
-            raise
-        if self.revision != before or self.door.now() - self.called > self.limits.breath:
-            # At once: a later call would be a new watch, with a gap before it.
-            self._call()
+            raise Spoilt(str(fault)) from fault
+        # At once, as a rule: a later call would be a new watch, with a gap before it.
+        self._next(self.follow.answered(self.door.now() - self.called, self.revision != before))
+
+    def _next(self, pause: int) -> None:
+        self.out = True
+        if pause:
+            self.reactor.callLater(pause / SECOND, self._call)
         else:
-            # Against a discovery that has nothing new and does not wait: still in time to go on watching.
-            self.reactor.callLater(self.limits.breath / SECOND, self._call)
+            self._call()
 
     def _failed(self, failure: Failure) -> None:
         self.out = False
@@ -140,7 +162,10 @@
             return
         # The library wraps why a connection ended before there was an answer.
         reasons = getattr(failure.value, "reasons", None) or [failure]
-        self.door.tell("WARNING", "discovery: {}", reasons[0].getErrorMessage())
-        self.door.list_lost()
-        if not self.door.start.watch_list:
-            self.reactor.callLater(self.door.about(self.limits.again) / SECOND, self.watch)
+        self.door.tell("WARNING", "discovery: {}", reasons[0].getErrorMessage() or "cut off")
+        how = Kind.SILENT if failure.check(Silent) else Kind.SPOILT if failure.check(Spoilt) else Kind.ENDED
+        pause = self.follow.failed(self.door.now(), how)
+        if pause is not None:
+            self._next(pause)
+        else:
+            self.door.list_lost()
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -8,6 +8,7 @@
 MS = 1_000_000
 SECOND = 1_000_000_000
 MIB = 1 << 20
+SILENCE = 6 * SECOND  # what a silent watch misses counts as told so long after (the platform's page on the fleet)
 PROGRAM = 30  # MB that the program takes with its decisions, all connections at rest
 
 
@@ -52,10 +53,15 @@
     # A client with a command or an answer half way on which nothing moves for so long is closed.
     stalled: int
     # Discovery.
-    watch: int
-    call: int  # beyond the wait of a watch
+    watch: int  # at most
+    call: int  # beyond the wait of a watch: at most, and until it is known how late answers come
+    call_least: int
+    look: int  # the wait of a call that begins a watch, which may stand in a queue for so long
+    queue: int
     breath: int  # before the next watch, if one came back at once with nothing
-    again: int  # between failed calls, where the decisions do not ask for the list themselves
+    again: int  # between failed calls at most, where the decisions do not ask for the list themselves
+    hurry: int  # for so long after one that may have missed what counts as told, they do not
+    hasten: int  # between failed calls then
     list_bytes: int
     # A planned end: accepting for so long, serving on for so long on what is open, the last answer, with time
     # left for it to be written, and gone at the latest.
@@ -83,6 +89,7 @@
     held = max(1, min(256, (memory_mb - PROGRAM) // 5)) * MIB
     lame, leave = SECOND // 2, min(longest * US, 3 * SECOND) + 600 * MS
     must_ask = span(facts["Invariants"], "MustAskIn", "Invariants", usual=0) or 10 * SECOND
+    grace = span(facts["Invariants"], "DrainGrace", "Invariants", usual=2 * SECOND)
     idle = span(allowed, "ConnIdle", "Limits", usual=0) or 5 * SECOND
     return Limits(
         sockets=left - spare, clients=(left - spare) * 2 // 3, spare=spare, operators=operators,
@@ -97,8 +104,10 @@
         dial=span(allowed, "DialTimeout", "Limits", usual=0) or 250 * MS, idle=idle * 3 // 5, sweep=SECOND // 4,
         wear=5 * SECOND, wear_least=8,
         stalled=5 * SECOND,
-        watch=min(60 * SECOND, must_ask // 2), call=3 * SECOND // 2, breath=SECOND // 10,
-        again=SECOND, list_bytes=8 * MIB,
+        watch=min(SILENCE // 3, must_ask // 2), call=SILENCE // 6, call_least=SILENCE // 24,
+        look=SECOND // 20, queue=5 * SILENCE // 12, breath=SECOND // 10,
+        again=max(SECOND // 20, min(SECOND, grace // 2)), hurry=2 * SILENCE, hasten=SILENCE // 24,
+        list_bytes=8 * MIB,
         lame=lame, drained=3 * SECOND, serve_on=max(lame, leave - SECOND // 3), last=leave - 20 * MS, leave=leave,
         flood=SECOND,
     )
--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,92 @@
+"""Steps through the page's clocks: whenever a watch falls silent, what it missed is known before it counts as told."""
+
+from random import Random
+
+import pytest
+
+from ternquay.net.follow import Failure, Follow
+from ternquay.net.limits import MS, SECOND, Limits, fill
+
+PROFILE = {"Name": "read", "Semantics": "repeatable", "ServiceGoal": 150_000, "HardLimit": 500_000}
+SILENCE = 6 * SECOND
+ROOM = SECOND // 2  # before it counts as told
+
+
+def limits(must_ask: int | None = None, grace: int = 500) -> Limits:
+    rules = {"DrainGrace": grace * 1000} | ({"MustAskIn": must_ask * 1000} if must_ask else {})
+    return fill({"Limits": {}, "Profiles": [PROFILE], "Invariants": rules}, 512, 96)
+
+
+def known(follow: Follow, start: int, silent: int, late: int, down: tuple[int, int] = (0, 0)) -> tuple[int, int]:
+    """When the watch that fell silent was begun, and when something answered after that; all answers come so late."""
+    now, begun, struck = start, 0, False
+    while True:
+        ask = follow.ask()
+        silent = silent if struck else max(silent, now)  # between two calls there is no watch to fall silent
+        if not struck and silent < now + ask.wait + late:
+            struck, begun = True, now
+            now += ask.patience
+            failed = Failure.SILENT
+        elif down[0] <= now < down[1]:
+            failed = Failure.ENDED
+        else:
+            now += ask.wait + late
+            if struck:
+                return begun, now
+            now += follow.answered(ask.wait + late, False)
+            continue
+        pause = follow.failed(now, failed)
+        assert pause is not None, "left to the decisions while something is missing"
+        now += pause
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+@pytest.mark.parametrize("must_ask", [None, 200, 1000, 4000, 10_000, 120_000])
+@pytest.mark.parametrize("late", [0, 30 * MS, 400 * MS])
+def test_what_a_silent_watch_misses_is_known_before_it_counts_as_told(
+        pushed: bool, must_ask: int | None, late: int) -> None:
+    for seed in range(200):
+        draw = Random(seed)
+        follow = Follow(limits(must_ask), draw, pushed)
+        silent = int(draw.random() * 12 * SECOND) + 1
+        begun, at = known(follow, 0, silent, late)
+        told = max(silent + SILENCE, begun + follow.limits.watch + 2 * SECOND)
+        assert at <= told - ROOM, (seed, silent / SECOND, begun / SECOND, at / SECOND)
+
+
+def test_a_discovery_that_turns_calls_away_for_a_second_meanwhile_is_asked_until_it_answers() -> None:
+    for seed in range(200):
+        draw = Random(seed)
+        silent = 4 * SECOND + int(draw.random() * 2 * SECOND)
+        begun, at = known(Follow(limits(10_000), draw, False), 0, silent, 20 * MS, (silent, silent + 4 * SECOND))
+        assert at <= silent + SILENCE - ROOM, (seed, begun, at)
+
+
+def test_a_watch_of_a_quick_discovery_is_found_silent_sooner_and_one_with_a_queue_is_not_given_up() -> None:
+    follow = Follow(limits(10_000), Random(1), False)
+    for late, least, most in ((5, 250, 260), (400, 600, 1000)):
+        for _ in range(100):
+            ask = follow.ask()
+            follow.answered(ask.wait + late * MS + int(follow.draw.random() * late / 2) * MS, False)
+        assert least * MS <= follow.slack() <= most * MS, follow.slack()
+
+
+def test_calls_that_fail_grow_rare_and_where_lists_are_pushed_stay_within_the_grace() -> None:
+    asked, pushed = Follow(limits(10_000), Random(2), False), Follow(limits(10_000, 400), Random(2), True)
+    assert asked.failed(SECOND, Failure.ENDED) is None
+    pauses = [pushed.failed(SECOND, Failure.ENDED) for _ in range(20)]
+    assert all(pause is not None and pause <= 300 * MS for pause in pauses), pauses
+    assert all(pause is not None and pause >= 100 * MS for pause in pauses[3:]), pauses
+    # One that never answers is not hurried after for ever.
+    asked.failed(SECOND, Failure.SILENT)
+    assert asked.failed(2 * SECOND, Failure.SILENT) is not None
+    assert asked.failed(14 * SECOND, Failure.SILENT) is None
+    assert asked.failed(20 * SECOND, Failure.SILENT) is None
+
+
+def test_watches_that_end_together_do_not_stay_together() -> None:
+    waits = {Follow(limits(10_000), Random(n), False) for n in range(200)}
+    for follow in waits:
+        follow.answered(0, True)
+    at = sorted(follow.ask().wait for follow in waits)
+    assert at[-1] - at[0] > 400 * MS and at[-1] <= 2 * SECOND
--- a/tests/test_review_input.py
+++ b/tests/test_review_input.py
@@ -194,7 +194,8 @@
     assert net.door.hosts == before and "client 0 < b'VA 3 O1" in "".join(net.trace)
     assert sum(named.replace("known.", "") in text for text in lines) == 1, lines
     until_asked(net, agent, 3)
-    assert net.trace[-1].endswith("/api/targets")  # the whole list, as what changed may be lost
+    asked = [one for one in net.trace if " GET " in one]
+    assert asked[-1].endswith("/api/targets")  # the whole list, as what changed may be lost
     agent.calls[2].callback(told(7, member(3)))
     assert set(net.door.hosts) == {"h3"}
 
