--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -187,7 +187,9 @@
     def _list_lost(self, _: m.ListLost) -> None:
         # Against a flood of calls on a discovery that is down: each failure waits longer, with a random part.
         if self.start.watch_list:
-            self.wakes.add(self.now + self.ask_wait // 2 + self._about(self.ask_wait), -2)
+            # A call at least as often as the list that is held counts: each waits one to two such spans.
+            wait = min(self.ask_wait, self.start.must_ask * 2 // 5)
+            self.wakes.add(self.now + wait // 2 + self._about(wait), -2)
             self.ask_wait = min(ASK_MOST, self.ask_wait * 2)
 
     # ---- timers ----
--- a/ternquay/facts.py
+++ b/ternquay/facts.py
@@ -15,6 +15,7 @@
     "tps": ("done", 1.0),
 }
 REPORT_MOST = 4
+MUST_ASK = 10 * 10**9  # nanoseconds, where nothing is told
 LONGEST = 10**12  # of any time that is told, in microseconds: some eleven days
 MOST = 10**9  # of any count or rate
 
@@ -98,7 +99,9 @@
         quantum=span(facts, "Quantum", "", usual=0), cold_share=number(rules, "ColdShare", "Invariants", 0, 1),
         warm_within=span(rules, "WarmWithin", "Invariants"),
         tip_multiple=number(rules, "TipMultiple", "Invariants", 0, MOST),
-        tip_window=span(rules, "Fall", "Invariants"), gone_is_advice=flag(rules, "GoneIsAdvice", "Invariants"),
+        tip_window=span(rules, "Fall", "Invariants"),
+        must_ask=span(rules, "MustAskIn", "Invariants", usual=0) or MUST_ASK,
+        gone_is_advice=flag(rules, "GoneIsAdvice", "Invariants"),
         zone=own_zone(facts), cross_price=number(table(facts, "Prices"), "CrossZone", "Prices", 0, MOST, 0.0),
     )
 
--- a/ternquay/hosted/service.py
+++ b/ternquay/hosted/service.py
@@ -200,7 +200,7 @@
     if peers.me not in places:
         raise Unfit("peers.me", f"{peers.me} is none of the members")
     if len(places) > FELLOWS_MOST:
-        raise Unfit("peers.members", f"{FELLOWS_MOST} members are the most")
+        raise Unfit("peers.members", f"{FELLOWS_MOST} members are the most, as each is in every round of the leader's")
     listen = place_of(peers.listen, "peers.listen") if peers.listen is not None else places[peers.me]
     placed(listen, "peers.listen")
     try:
--- a/ternquay/hosted/tenants/tenant.py
+++ b/ternquay/hosted/tenants/tenant.py
@@ -13,7 +13,7 @@
 
 NAME = re.compile(r"[a-z](?:[a-z0-9-]{0,46}[a-z0-9])?")
 DIGEST = 32  # of a key: the key itself is never kept
-PROFILES_MOST, HOSTS_MOST, LISTENERS_MOST, KEYS_MOST, SHARES_MOST = 64, 1000, 16, 64, 256
+PROFILES_MOST, HOSTS_MOST, LISTENERS_MOST, KEYS_MOST, SHARES_MOST = 64, 1024, 16, 64, 256
 
 
 class State(Enum):
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -89,6 +89,7 @@
     zone: int = -1  # its own
     cross_price: float = 0.0  # of a hop to another zone, as a part of what a transaction earns
     gone_is_advice: bool = False  # of the list only a draining that was seen binds
+    must_ask: int = 10_000_000_000  # for so long the list that is held counts, where it is asked for and not watched
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ternquay.facts import MOST, US, number, span
+from ternquay.facts import MOST, MUST_ASK, US, number, span
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -90,7 +90,7 @@
     # Four times, above what the program itself takes.
     held = max(1, min(256, (memory_mb - PROGRAM) // 5)) * MIB
     lame, leave = SECOND // 2, min(longest * US, 3 * SECOND) + 600 * MS
-    must_ask = span(facts["Invariants"], "MustAskIn", "Invariants", usual=0) or 10 * SECOND
+    must_ask = span(facts["Invariants"], "MustAskIn", "Invariants", usual=0) or MUST_ASK
     grace = span(facts["Invariants"], "DrainGrace", "Invariants", usual=2 * SECOND)
     idle = span(allowed, "ConnIdle", "Limits", usual=0) or 5 * SECOND
     return Limits(
--- a/ternquay/rig/agree.py
+++ b/ternquay/rig/agree.py
@@ -372,7 +372,8 @@
     many = day.balancers.count
     cores = cores_for(many + 4)
     names = NAMES[:many]
-    own = {name: free_place("127.0.0.1") for name in names}
+    # At an address of each one's own: what lies between them listens elsewhere, and would be given the same ports.
+    own = {name: free_place(f"127.7.1.{n + 1}") for n, name in enumerate(names)}
     between = Between({name: (place.rpartition(":")[0], int(place.rpartition(":")[2]))
                        for name, place in own.items()}, seed)
     try:
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -1,11 +1,15 @@
 """Steps through the page's clocks: whenever a watch falls silent, what it missed is known before it counts as told."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
 
+from ternquay import model as m
+from ternquay.balance import Balancer
 from ternquay.net.follow import Failure, Follow
 from ternquay.net.limits import MS, SECOND, Limits, fill
+from tests.helper import START, T0
 
 PROFILE = {"Name": "read", "Semantics": "repeatable", "ServiceGoal": 150_000, "HardLimit": 500_000}
 SILENCE = 6 * SECOND
@@ -84,6 +88,16 @@
     assert asked.failed(20 * SECOND, Failure.SILENT) is None
 
 
+def test_where_lists_are_asked_for_no_wait_is_longer_than_the_list_that_is_held_counts() -> None:
+    for must_ask in (SECOND // 2, 2 * SECOND, 60 * SECOND):
+        balancer = Balancer(replace(START, watch_list=True, must_ask=must_ask))
+        waits = []
+        for _ in range(12):
+            balancer.decide(T0, m.ListLost())
+            waits.append(max(at for at, _, what in balancer.wakes.heap if what == -2) - T0)
+        assert waits[0] <= SECOND and max(waits) <= min(must_ask * 4 // 5, 8 * SECOND), waits
+
+
 def test_watches_that_end_together_do_not_stay_together() -> None:
     waits = {Follow(limits(10_000), Random(n), False) for n in range(200)}
     for follow in waits:
--- a/tests/test_review_gaps.py
+++ b/tests/test_review_gaps.py
@@ -67,7 +67,7 @@
         case: Any = SimpleNamespace(
             day=day, slack=day.rules.slack_ms * MS, tries=[SimpleNamespace(id="t1", balancer=0)], hops={"t1": [hop]},
             saw=SimpleNamespace(fleet=SimpleNamespace(told=[records.Told(0, told, "h-3-1", "draining")])),
-            life_at=lambda balancer, at: SimpleNamespace(started=0))
+            known=lambda told: told.at, life_at=lambda balancer, at: SimpleNamespace(started=0))
         return bool(list(_drains(case)))
 
     assert [convicted(told + grace + ms * MS) for ms in (-200, -1, 1, 200)] == [False, False, True, True]
