A queue longer than one call waits is waited for in the end; hurried calls stay within the grace

Read again: a call that begins a watch was given 2.5 s however often that had not been enough, so where discovery's queue is longer no watch would ever begin, and the calls would keep the queue long. Each further silence gives it as much more, up to 10 s; the first after a silent watch stays short, as the clock of what was missed runs. Where lists are pushed with a small grace, calls after a spoilt list were a quarter of a second apart; now within half of the grace.

--- a/ternquay/net/follow.py
+++ b/ternquay/net/follow.py
@@ -12,6 +12,7 @@
 from ternquay.net.limits import Limits
 
 SMOOTH, SPREAD, DEVIATIONS = 1 / 8, 1 / 4, 4  # RFC 6298, section 2, with lateness in the place of round trips
+QUEUES_MOST = 4
 
 
 class Failure(Enum):
@@ -36,6 +37,7 @@
         self.watching = False  # the last call was answered, and the next goes on with that watch
         self.hurry_until = 0  # something that counts as told, now or soon, may have been missed
         self.hurried = False  # since the last answer: against calls that stay as frequent for ever
+        self.silences = 0  # since the last answer
         self.pause = 0  # before the next call, where it is not the decisions that ask
         self.asked = Ask(0, 0)
         self.late, self.spread = -1.0, 0.0  # how much later than its wait an answer comes, and how much that varies
@@ -57,8 +59,10 @@
             wait = self.limits.watch - int(self.draw.random() * self.limits.watch / 4)
             self.asked = Ask(wait, wait + self.slack())
         else:
-            # A new watch may wait in discovery's queue, and it is not waited for when it could be silent again.
-            self.asked = Ask(self.limits.look, self.limits.look + self.limits.queue)
+            # A new watch may wait in discovery's queue, so it is given more time when one got no answer in that: else
+            # none would ever come where the queue is longer. The first is not, as it may have fallen silent again.
+            queue = self.limits.queue * min(QUEUES_MOST, max(1, self.silences))
+            self.asked = Ask(self.limits.look, self.limits.look + queue)
         return self.asked
 
     def answered(self, took: int, news: bool) -> int:
@@ -66,7 +70,7 @@
         if not news or not self.watching:
             self._came(max(0, took - (0 if news else self.asked.wait)))
         idle = not news and self.watching and took <= self.limits.breath
-        self.watching, self.hurried, self.hurry_until, self.pause = True, False, 0, 0
+        self.watching, self.hurried, self.hurry_until, self.pause, self.silences = True, False, 0, 0, 0
         # Against a discovery that has nothing new and does not wait.
         return self.limits.breath if idle else 0
 
@@ -79,12 +83,12 @@
 
     def failed(self, now: int, how: Failure) -> int | None:
         """How long to pause before the next call; None where the decisions ask for it themselves."""
-        self.watching = False
+        self.watching, self.silences = False, self.silences + (how is Failure.SILENT)
         if how is not Failure.ENDED and not self.hurried:
             self.hurried, self.hurry_until, self.pause = True, now + self.limits.hurry, 0
         if now < self.hurry_until:
             # Not longer each time, as the time that is left is short; and not for ever, as discovery may be down.
-            pause, self.pause = self.pause, self.limits.hasten
+            pause, self.pause = self.pause, min(self.limits.hasten, self.limits.again)
             return self._about(pause)
         if not self.pushed:
             return None
--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -98,6 +98,17 @@
         assert waits[0] <= SECOND and max(waits) <= min(must_ask * 4 // 5, 8 * SECOND), waits
 
 
+def test_a_queue_that_is_longer_than_one_call_waits_is_waited_for_in_the_end() -> None:
+    follow, waited = Follow(limits(10_000), Random(3), False), []
+    for n in range(6):
+        waited.append(follow.ask().patience)
+        follow.failed(n * 3 * SECOND, Failure.SILENT)
+    assert waited[0] == waited[1] < 3 * SECOND and max(waited) > 10 * SECOND
+    follow.answered(50 * MS, False)
+    follow.failed(60 * SECOND, Failure.ENDED)
+    assert follow.ask().patience == waited[0]
+
+
 def test_watches_that_end_together_do_not_stay_together() -> None:
     waits = {Follow(limits(10_000), Random(n), False) for n in range(200)}
     for follow in waits:
