Rig: a notice's time and a call's wait are worked out once

Read again: the judge worked out when each notice was known for every hop, twice, and the stand-in read a queued call's wait a second time. Nothing that build, run or sim load has changed.

--- a/ternquay/rig/judge.py
+++ b/ternquay/rig/judge.py
@@ -179,9 +179,9 @@
 
 
 def _drains(case: _Case) -> Iterator[Breach]:
-    told: dict[tuple[int, int], list[Told]] = defaultdict(list)
+    told: dict[tuple[int, int], list[tuple[Told, int]]] = defaultdict(list)
     for line in sorted(case.saw.fleet.told, key=lambda t: t.at):
-        told[line.balancer, place_of(line.host)].append(line)
+        told[line.balancer, place_of(line.host)].append((line, case.known(line)))
     grace = case.day.rules.drain_grace_ms * MS + case.slack
     balancers = {one.id: one.balancer for one in case.tries}
     for hops in case.hops.values():
@@ -190,11 +190,11 @@
             life = case.life_at(balancer, hop.came)
             if life is None:
                 continue
-            lines = [t for t in told[balancer, hop.host] if life.started <= case.known(t)]
-            until = bisect_right([case.known(t) for t in lines], hop.came)
-            if not _stood([(t, case.known(t)) for t in lines[:until]], hop.came - grace):
+            lines = [(line, at) for line, at in told[balancer, hop.host] if life.started <= at]
+            until = bisect_right([at for _, at in lines], hop.came)
+            if not _stood(lines[:until], hop.came - grace):
                 evidence = {"hop": msgspec.structs.asdict(hop), "balancer": balancer,
-                            "told": [msgspec.structs.asdict(t) for t in lines[:until][-4:]]}
+                            "told": [msgspec.structs.asdict(t) for t, _ in lines[:until][-4:]]}
                 yield Breach("drains", hop.came, "a hop past the grace after a notice", evidence)
 
 
--- a/ternquay/rig/standins/discovery.py
+++ b/ternquay/rig/standins/discovery.py
@@ -77,7 +77,7 @@
                 self.reactor.callLater((begin + fault.start - self.clock()) / SECOND, self.silence)
         for counted in self.counted:
             # What stands at the begin is in the list that each starts with.
-            counted.called, counted.version = max(0, counted.called), self.listing().revision(0)
+            counted.version = self.listing().revision(0)
         self._count()
 
     def silence(self) -> None:
@@ -125,10 +125,10 @@
             return GARBAGE[self.spoilt % len(GARBAGE)]
         each = listing.queue(now)
         if each and now - self.answered[balancer] > GOES_ON:
-            return self._queued(call, balancer, now, each)
+            return self._queued(call, balancer, wait, now, each)
         return self._take(call, balancer, wait)
 
-    def _queued(self, call: Request, balancer: int, now: int, each: int) -> Any:
+    def _queued(self, call: Request, balancer: int, wait: int, now: int, each: int) -> Any:
         """A call that begins a watch waits its turn, or is turned away where that would be too long."""
         at = max(now, self.free_at) + each
         if at - now > QUEUE_MOST:
@@ -141,7 +141,7 @@
 
         def turn() -> None:
             if not left:
-                body = self._take(call, balancer, min(WAIT_MOST, number_in(call, b"wait") or 0))
+                body = self._take(call, balancer, wait)
                 if body is not NOT_DONE_YET:
                     call.write(body)
                     call.finish()
