--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -27,8 +27,8 @@
     return b"mg %s v O%d Pc=%s,d=%d\r\n" % (key.encode(), number, profile.encode(), ttl)
 
 
-def ms(number: int, profile: str = "once") -> bytes:
-    return b"ms k 2 O%d Pc=%s,d=800,k=77\r\nhi\r\n" % (number, profile.encode())
+def ms(number: int, profile: str = "once", ttl: int = 800) -> bytes:
+    return b"ms k 2 O%d Pc=%s,d=%d,k=77\r\nhi\r\n" % (number, profile.encode(), ttl)
 
 
 def va(number: int, value: bytes = b"val") -> bytes:
