--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -23,6 +23,7 @@
 from ternquay.hosted.tenants.tenant import Guarantee, State, Tenant, Unfit
 from ternquay.net.closing import once_paid
 from ternquay.net.limits import MS, SECOND
+from ternquay.net.safety import CloseReason
 from ternquay.net.serve import MonotonicReactor, pass_on
 from ternquay.net.turn import Turn
 
@@ -196,7 +197,7 @@
             clients = [client for client in tenancy.front.all if client.kept or client.queued]
             if not clients:
                 break
-            tenancy.front.drop(max(clients, key=lambda client: client.kept + client.queued))
+            tenancy.front.drop(max(clients, key=lambda client: client.kept + client.queued), CloseReason.MEMORY)
             held[tenancy] = tenancy.held()
 
     def process(self) -> dict[str, Any]:
--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -13,9 +13,11 @@
 from ternquay.hosted.shared.fairness import Dues, Lent
 from ternquay.hosted.shared.loop import PIECE, Loop
 from ternquay.net import meta
+from ternquay.net.client import ClientConnection, Owed
 from ternquay.net.door import Door
-from ternquay.net.front import ClientConnection, Front, Owed
+from ternquay.net.front import Front
 from ternquay.net.limits import Limits
+from ternquay.net.safety import CloseReason, RefuseReason
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import Turn
 
@@ -72,6 +74,7 @@
         self.waits = self.unreading = self.stuck = False
         self.unread_since = 0  # since when the oldest that is not read may be here
         self.paused_at = 0
+        self.waits_since = 0  # for its turn to be read
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         for one in self.owed:
@@ -85,6 +88,7 @@
         front = self.front
         if not self.unread_since:
             self.unread_since = self.first_since() or front.turn.before
+        self.arrived += len(data)
         self.machine.add(data)
         if self.waits or self.stuck:
             self.keep()
@@ -96,19 +100,32 @@
             self.wait()
 
     def wait(self) -> None:
-        self.waits = True
+        self._await_turn()
         self.front.busy(self)  # against closing it as one that rests, with a whole command in hand
         self.keep()
         self.hold_back()
         self.front.loop.ready(self.front.name, self.address, self)
 
+    def _await_turn(self) -> None:
+        self.waits, self.waits_since = True, self.front.door.now()
+
+    def held_by_us(self) -> bool:
+        return self.waits or self.stuck or super().held_by_us()
+
+    def stalled(self) -> bool:
+        # Who waits for a turn to be read is not held back by a cache host: it would go on if it could.
+        held = (self.waits or self.stuck) and not self.queued and not self.ended
+        return not held and super().stalled()
+
     def hold_back(self) -> None:
         if not self.unreading and not self.ended and (len(self.machine.buffer) > BACKLOG or self.stuck):
             self.unreading, self.paused_at = True, self.front.door.now()
             self.transport.pauseProducing()
 
     def piece(self) -> bool:
-        self.waits = False
+        if self.waits:
+            self.waits = False
+            self.deadline.extend(self.front.door.now() - self.waits_since)
         if self.ended or self.closing:
             return False
         clock = self.front.loop.clock
@@ -128,7 +145,7 @@
                 self.read_all()
                 return False
             if clock() >= end:
-                self.waits = True
+                self._await_turn()
                 return True
 
     def read_all(self) -> None:
@@ -146,13 +163,14 @@
         super().flush()
         if self.stuck and len(self.owed) < OWED_MOST // 2 and not self.ended:
             self.stuck = False
-            self.waits = True
+            self._await_turn()
             self.front.loop.ready(self.front.name, self.address, self)
 
     # ---- transactions ----
 
     def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
         if self.front.full(self):
+            self.front.safety.refuses(RefuseReason.SHARE, owed.id())
             owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
         owed.counted = True
@@ -192,7 +210,7 @@
         assert isinstance(client, TenantClient)
         mine = self.by_address.get(client.address, {})
         if self.sockets.clients >= self.limits.clients and not self._make_room(len(mine)):
-            client.abort()
+            client.abort(CloseReason.NO_REQUEST)
             return
         self.by_address.setdefault(client.address, mine)[client] = None
         super().came(client)
@@ -228,7 +246,7 @@
                 if client in self.resting:
                     closed += self._close_resting(client)
                 elif client.untouched():
-                    self.drop(client)
+                    self.drop(client, CloseReason.NO_REQUEST)
                     closed += 1
         return closed
 
@@ -250,7 +268,7 @@
 
     def shed_kept(self, client: ClientConnection) -> None:
         # Not whoever comes last, but whoever has most.
-        self.drop(max(self.all, key=lambda one: one.kept))
+        self.drop(max(self.all, key=lambda one: one.kept), CloseReason.MEMORY)
 
     # ---- transactions ----
 
--- a/ternquay/hosted/tenants/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -22,6 +22,7 @@
 from ternquay.net.limits import SECOND, Limits, fill
 from ternquay.net.listing import Address, Member
 from ternquay.net.pool import HostConnection, Pool
+from ternquay.net.safety import CloseReason
 from ternquay.net.turn import Turn
 
 MOST_HOPS, BACKOFF_MOST, SPARE = 4, SECOND, 8
@@ -308,7 +309,7 @@
         if self.discovery is not None:
             self.discovery.end()
         for client in list(self.front.all):
-            self.front.drop(client)
+            self.front.drop(client, CloseReason.REMOVED)
         self.pool.end()
         self.common.retell(self.common.ledger.left(self.door.now(), self.id))
 
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -19,6 +19,7 @@
 from ternquay.net.flow import Flow
 from ternquay.net.limits import SECOND, Limits
 from ternquay.net.listing import Address, Member
+from ternquay.net.safety import Attempt, RefuseReason, Safety
 
 
 class Call(Protocol):
@@ -49,6 +50,10 @@
 
     def abandon(self) -> None: ...
 
+    def id(self) -> str:
+        """The id of the request, as its client gave it."""
+        ...
+
     def left(self) -> bool:
         """Whether it has gone, as far as the system knows: it may not have been read yet."""
         ...
@@ -120,6 +125,7 @@
         self.clock, self.names, self.limits = clock, names, limits
         self.start = start
         self.tell = Flood(clock.seconds, limits.flood).tell
+        self.safety = Safety(self.now, self.tell)
         self.balancer = decisions(start)
         self.timer: Call | None = None  # the decisions' one
         self.draw = Random(f"{start.seed}.{start.number}")
@@ -220,6 +226,7 @@
                     whole=arrival.flow is None)
         self.next_tx += 1
         if len(self.txs) >= self.limits.open_txs or self.held > self.limits.held:
+            self.safety.refuses(RefuseReason.REQUESTS, asker.id())
             asker.roll_back(self.about(self.limits.come_again))
             return tx.id
         tx.seen = tx.came - arrival.unread
@@ -313,17 +320,20 @@
         which it is known as one; and nothing for a client that has gone, of which a loop that is behind, or that reads
         no more of it for now, has not been told.
         """
-        tx, now = hop.tx, self.now()
-        if tx.answered or (tx.whole and now >= hop.not_past) or (hop.begin_by and now >= hop.begin_by):
+        attempt = Attempt(hop.tx.answered, hop.tx.whole, hop.not_past, hop.begin_by,
+                          stale=not hop.waited and self.stood_still(self.now()))
+        return self.safety.may_begin(attempt, lambda: self._departed(hop.tx), hop.tx.asker.id()) is None
+
+    def _departed(self, tx: OpenTx) -> bool:
+        """Whether the client has gone, as far as the system knows."""
+        now = self.now()
+        if now - tx.seen <= self.limits.present:
             return False
-        if self.stood_still(now) and not hop.waited:
-            return False  # it waited while the process stood still: decided on anew, and after a poll
-        if now - tx.seen > self.limits.present:
-            if tx.asker.left():
-                self.gone(tx.id)
-                return False
-            tx.seen = now
-        return True
+        if tx.asker.left():
+            self.gone(tx.id)
+            return True
+        tx.seen = now
+        return False
 
     def _time(self, hop: Outgoing) -> None:
         hop.call = self.later(hop.not_past + 1000, self._give_up, hop, m.End.TIMED_OUT)
--- a/ternquay/net/management.py
+++ b/ternquay/net/management.py
@@ -1,6 +1,7 @@
 """The operators' address: is this process ready, take it out of service, take it in again.
 
     GET  /control/ready            POST /control/out-of-service            POST /control/in-service
+    GET  /control/metrics          GET  /control/events
 
 The table of calls is pure; the port is a thin driver. Callers that send nothing, or half a call, hold up nobody: at the
 bound of connections the oldest that has sent no whole call is closed for the one that comes.
@@ -29,6 +30,14 @@
 
     def in_service(self) -> str: ...
 
+    def metrics(self) -> str:
+        """Counts of closes, refusals, retries and violations, a line each."""
+        ...
+
+    def events(self) -> str:
+        """The latest of these, a line each."""
+        ...
+
 
 def calls(service: Managed) -> dict[str, tuple[str, Callable[[], str], str, int]]:
     """By path: the method, the step, what is said when it is done, and the status when it is not."""
@@ -39,11 +48,19 @@
     }
 
 
+def reports(service: Managed) -> dict[str, Callable[[], str]]:
+    """By path: what is read and changes nothing."""
+    return {"/control/metrics": service.metrics, "/control/events": service.events}
+
+
 def answered(service: Managed, method: str, target: str) -> tuple[int, str, dict[str, str]]:
     """Status, line and headers for one call."""
     path = target.partition("?")[0]
     if len(target) > PATH_MOST:
         return 414, "the path is too long", {}
+    report = reports(service).get(path)
+    if report is not None:
+        return (200, report(), {}) if method == "GET" else (405, "GET is wanted", {"allow": "GET"})
     known = calls(service).get(path)
     if known is None:
         return 404, "no such call", {}
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -15,10 +15,12 @@
 from dataclasses import dataclass, field, replace
 
 from ternquay import model as m
+from ternquay.net.request_deadline import Part, Position
 
 KEY_MOST = 250
 PLAIN = re.compile(rb"[!-~]+")
 TTL_MOST = 10**9
+ANSWER_WORDS = {b"VA", b"HD", b"EN", b"MN", b"NF", b"EX", b"ERROR", b"CLIENT_ERROR", b"SERVER_ERROR"}
 NOTES = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
 
 
@@ -155,6 +157,11 @@
     return bytes(memoryview(buffer)[at:at + min(left, len(buffer) - at)])
 
 
+def unexpected(verb: bytes, size: int) -> str:
+    """What a line is called that is no answer, without any of its bytes: they may be of a value."""
+    return f"unexpected {verb.decode()}, {size} bytes" if verb in ANSWER_WORDS else f"unexpected line of {size} bytes"
+
+
 def read_command(words: list[bytes]) -> Command | Bad:
     """A command line; the value of a write is added when it has come."""
     if len(words) < 2 or not 0 < len(words[1]) <= KEY_MOST:
@@ -197,6 +204,7 @@
     length: int = 0
     dead: bool = False
     over: Callable[[], int] | None = None
+    lines: int = 0  # command lines that were read
 
     def feed(self, data: bytes) -> list[Item]:
         self.add(data)
@@ -233,6 +241,12 @@
         """Nothing of a command has come."""
         return not self.buffer and self.wanted is None
 
+    def position(self) -> Position:
+        """How far the request has come that is not whole."""
+        if self.dead or self.quiet():
+            return Position(Part.NONE, self.lines)
+        return Position(Part.LINE if self.wanted is None else Part.VALUE, self.lines)
+
     def _fatal(self, line: bytes, found: list[Item]) -> int:
         found.append(Bad(line, True))
         self.dead = True
@@ -246,6 +260,7 @@
         end = line_end(self.buffer, at, self.line_most)
         if end < 0:
             return self._fatal(b"CLIENT_ERROR line too long", found) if end == -2 else -1
+        self.lines += 1
         words = bytes(self.buffer[at:end]).split()
         verb = words[0] if words else b""
         if verb == b"mn":
@@ -364,7 +379,7 @@
                 raise Broken("no receipt")
             self._give(found, Answer(m.End.DONE, receipts[0], self._note(words[1:])))
         else:
-            raise Broken(f"unexpected {bytes(self.buffer[at:min(end, at + 60)])!r}")
+            raise Broken(unexpected(verb, end - at))
         return end + 2
 
     def _piece(self, at: int, found: list[Reply]) -> int:
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -92,6 +92,7 @@
 
     def begin(self, hop: Outgoing) -> None:
         left = max(1, (hop.not_past - self.pool.door.now()) // MS)
+        self.pool.door.safety.begun(hop.tx.answered, hop.tx.asker.id(), hop.number)
         self.writing = hop
         self.hops.append(hop)
         self.machine.expect(hop.tx.message)
@@ -452,8 +453,9 @@
         return True
 
     def sweep(self) -> None:
-        self.swept()
+        # Made first, so that a fault in one look does not end them all.
         self.reactor.callLater(self.limits.sweep / SECOND, self.sweep)
+        self.swept()
 
     def swept(self) -> None:
         """Closes what stands idle before the cache host may: a write that crosses that is lost."""
--- /dev/null
+++ b/ternquay/net/safety.py
@@ -0,0 +1,186 @@
+"""The one place that decides whether an attempt may begin, be repeated, be answered, or a client be closed now.
+
+Drivers ask here in the step in which they act. What is done against these rules all the same is counted as a violation
+and logged as an error, so that a fault elsewhere is seen in the run in which it happens. Reasons are counted, and the
+latest events are kept for operators (`GET /control/events`, `GET /control/metrics`). Without I/O.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeVar
+
+EVENTS_KEPT = 256
+
+
+class Refusal(StrEnum):
+    """Why an attempt may not begin."""
+
+    ANSWERED = "the request has its answer"
+    OVERDUE = "the time of the attempt is over"
+    FORGOTTEN = "a repeat would no longer be known as one"
+    STALE = "it was decided on before the process stood still"
+    DEPARTED = "the client has gone"
+
+
+class CloseReason(StrEnum):
+    """Why the balancer ends a client's connection."""
+
+    REQUEST_OVERDUE = "its request was not whole in time"
+    MALFORMED = "what it sent can't be followed"
+    ANSWERS_UNREAD = "it takes no answers"
+    MEMORY = "more is kept for it than there is room for"
+    VALUE_BROKEN = "a value that was begun can't be finished"
+    NO_REQUEST = "it sent no whole request and its place was wanted"
+    IDLE = "idle, and its place was wanted"
+    LEAVING = "idle, and this process is leaving"
+    REMOVED = "its listener was taken away"
+
+
+class RefuseReason(StrEnum):
+    """Why a request was refused before the decisions were asked."""
+
+    LATE_TURN = "the loop is behind"
+    CROWDED = "too many connections"
+    PIPELINED = "too many requests wait on its connection"
+    REQUESTS = "too many requests are open"
+    SHARE = "its tenant has too many requests open"
+
+
+class Violation(StrEnum):
+    """A rule that was broken by this process."""
+
+    CLOSED_OWING = "a connection was closed on a request that waits for its answer"
+    ANSWERED_TWICE = "a request was answered a second time"
+    BEGUN_FORBIDDEN = "an attempt was begun that may not begin"
+
+
+# Where the client is at fault, or memory has to be had, nothing holds the close up.
+UNCONDITIONAL = frozenset({CloseReason.ANSWERS_UNREAD, CloseReason.MEMORY, CloseReason.VALUE_BROKEN,
+                           CloseReason.REMOVED})
+# Ordinary ends, which are counted and not logged.
+ROUTINE = frozenset({CloseReason.IDLE, CloseReason.LEAVING})
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What decides whether an attempt may begin. Times are whole nanoseconds, 0 for no bound."""
+
+    answered: bool  # the request has its final answer
+    whole: bool  # the last byte of the request has come
+    not_past: int  # the end of the attempt's time
+    begin_by: int  # a repeat is known as one until then
+    stale: bool  # the process stood still after it was decided on
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happened to a connection or a request, for operators: no key and no value."""
+
+    at: int
+    what: str
+    reason: str
+    request: str = ""
+
+
+def attempt_refusal(attempt: Attempt, now: int, departed: Callable[[], bool]) -> Refusal | None:
+    """Why the attempt may not begin now, or None. `departed` costs a system call and is asked last."""
+    if attempt.answered:
+        return Refusal.ANSWERED
+    if attempt.whole and now >= attempt.not_past:
+        return Refusal.OVERDUE
+    if attempt.begin_by and now >= attempt.begin_by:
+        return Refusal.FORGOTTEN
+    if attempt.stale:
+        return Refusal.STALE
+    return Refusal.DEPARTED if departed() else None
+
+
+def may_close(reason: CloseReason, owing: bool, unread: bool = False) -> bool:
+    """Whether a client's connection may be ended: not while it is owed an answer, or while bytes lie unread that may
+    be a request's last."""
+    return reason in UNCONDITIONAL or not (owing or unread)
+
+
+Reason = TypeVar("Reason", bound=StrEnum)
+
+
+def counted(name: str, counts: Mapping[Reason, int], reasons: Iterable[Reason]) -> list[str]:
+    """A line for each reason, also for one that has not come up."""
+    return [f'ternquay_{name}_total{{reason="{one.name.lower()}"}} {counts.get(one, 0)}' for one in reasons]
+
+
+class Safety:
+    """Asks the rules, counts what comes of it, and reports what is done against them."""
+
+    def __init__(self, now: Callable[[], int], tell: Callable[..., None]) -> None:
+        self.now, self.tell = now, tell
+        self.closes: Counter[CloseReason] = Counter()
+        self.refusals: Counter[Refusal] = Counter()
+        self.refused: Counter[RefuseReason] = Counter()
+        self.violations: Counter[Violation] = Counter()
+        self.retries = 0
+        self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)
+
+    def may_begin(self, attempt: Attempt, departed: Callable[[], bool], request: str) -> Refusal | None:
+        """Why the attempt may not begin now, or None: then its first byte has to leave in this very step."""
+        refusal = attempt_refusal(attempt, self.now(), departed)
+        if refusal is not None:
+            self.refusals[refusal] += 1
+            self._keep("attempt not begun", refusal, request)
+        return refusal
+
+    def begun(self, answered: bool, request: str, number: int) -> None:
+        """An attempt's first byte leaves."""
+        if number:
+            self.retries += 1
+            self._keep(f"attempt {number + 1}", "begun", request)
+        if answered:
+            self._violated(Violation.BEGUN_FORBIDDEN, request)
+
+    def closing(self, reason: CloseReason, owed: Sequence[str]) -> None:
+        """A client's connection is ended on the requests of these ids."""
+        self.closes[reason] += 1
+        if owed and not may_close(reason, True):
+            self._violated(Violation.CLOSED_OWING, owed[0])
+        if reason not in ROUTINE:
+            self._keep("client closed", reason, owed[0] if owed else "")
+            self.tell("INFO", f"a client was closed: {reason.value}")
+
+    def refuses(self, reason: RefuseReason, request: str) -> None:
+        """A request is refused without the decisions."""
+        self.refused[reason] += 1
+        self._keep("request refused", reason, request)
+
+    def answering(self, before: bool, request: str) -> bool:
+        """Whether an answer may be given: not if one was before."""
+        if before:
+            self._violated(Violation.ANSWERED_TWICE, request)
+        return not before
+
+    def metrics(self) -> str:
+        """All counts as text, a line each, in the exposition format of Prometheus."""
+        return "\n".join([
+            f"ternquay_attempts_repeated_total {self.retries}",
+            *counted("client_closes", self.closes, CloseReason), *counted("attempts_not_begun", self.refusals, Refusal),
+            *counted("requests_refused", self.refused, RefuseReason),
+            *counted("violations", self.violations, Violation)])
+
+    def latest(self) -> str:
+        """The latest events as text, a line each, the oldest first: seconds on the monotonic clock come first."""
+        return "\n".join(f"{one.at / 1e9:.6f} {one.what}: {one.reason} {one.request}".rstrip() for one in self.events)
+
+    def summary(self) -> str:
+        """One line for the log at the end."""
+        closes = ", ".join(f"{reason.name.lower()} {count}" for reason, count in sorted(
+            self.closes.items(), key=lambda item: item[0].name))
+        return f"closed clients: {closes or 'none'}; violations: {sum(self.violations.values())}"
+
+    def _violated(self, rule: Violation, request: str) -> None:
+        self.violations[rule] += 1
+        self._keep("violation", rule, request)
+        self.tell("ERROR", f"violation: {rule.value}, request {{}}", request)
+
+    def _keep(self, what: str, reason: str, request: str) -> None:
+        self.events.append(Event(self.now(), what, reason, request))
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -217,6 +217,12 @@
             logger.info("in service")
         return ""
 
+    def metrics(self) -> str:
+        return self.door.safety.metrics()
+
+    def events(self) -> str:
+        return self.door.safety.latest()
+
     def _undrained(self) -> None:
         self.drained = False
         for call in self.leaves:
@@ -278,6 +284,7 @@
             self.discovery.end()
             if self.replacement is not None:
                 self.replacement.end()
+            logger.info(self.door.safety.summary())
             logger.info("ended, {} transactions open", sum(not tx.answered for tx in self.door.txs.values()))
             self.reactor.stop()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -367,6 +367,7 @@
         one.feed(b"mg k v O1 Pc=re")
     client.unread = b"a"
     stopped(net, 6.0)
+    net.take()  # it is told and closed, where it was reset
     assert silent.lost and not client.lost
     client.unread = None
     client.feed(b"ad,d=800\r\n")
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -6,9 +6,35 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
+from signal import SIGHUP
+from threading import Timer
 
+import pytest
+
+from ternquay.net.client import OVERDUE
+from ternquay.net.limits import MS, SECOND
+from ternquay.net.meta import ClientSide
+from ternquay.net.request_deadline import (
+    LINE_MOST,
+    VALUE_LEAST,
+    VALUE_PAUSE,
+    VALUE_RATE,
+    Part,
+    Position,
+    RequestDeadline,
+)
+from ternquay.net.safety import (
+    UNCONDITIONAL,
+    Attempt,
+    CloseReason,
+    Refusal,
+    Violation,
+    attempt_refusal,
+    may_close,
+)
 from tests.helper import FACTS, Net, member
 from tests.test_flow import Store
+from tests.test_management import OUT, call, talk
 from tests.test_net import mg, ms, va
 from tests.test_review_links import free, serving, told
 
@@ -128,3 +154,165 @@
     client.feed(mg(2))
     net.wires[-1].feed(va(2))
     assert not client.lost and "VA 3 O2" in "".join(net.trace), net.trace
+
+
+# ---- the deadline itself ----
+
+
+def test_a_line_has_one_bound_from_its_first_byte_whatever_comes() -> None:
+    deadline = RequestDeadline()
+    assert deadline.due() is None
+    for at in range(10):
+        deadline.read(at * SECOND // 5, Position(Part.LINE, 0), 1)
+    assert deadline.due() == LINE_MOST
+
+
+def test_a_value_has_a_bound_from_its_last_byte_and_one_by_its_size() -> None:
+    deadline, value = RequestDeadline(), Position(Part.VALUE, 1)
+    deadline.read(SECOND, value, 0)
+    assert deadline.due() == SECOND + VALUE_LEAST
+    deadline.read(2 * SECOND, value, 100 * VALUE_RATE)
+    assert deadline.due() == 2 * SECOND + VALUE_PAUSE
+    for at in range(3, 6):
+        deadline.read(at * SECOND, value, 1)
+    assert deadline.due() == 5 * SECOND + VALUE_PAUSE
+
+
+def test_the_next_request_has_its_own_time_and_none_is_counted_between_two() -> None:
+    deadline = RequestDeadline()
+    deadline.read(SECOND, Position(Part.LINE, 0), 5)
+    deadline.read(2 * SECOND, Position(Part.LINE, 1), 50)
+    assert deadline.due() == 2 * SECOND + LINE_MOST
+    deadline.read(3 * SECOND, Position(Part.NONE, 2), 50)
+    assert deadline.due() is None
+    deadline.read(4 * SECOND, Position(Part.LINE, 2), 1)
+    assert deadline.due() == 4 * SECOND + LINE_MOST
+
+
+def test_time_in_which_the_client_was_kept_from_writing_does_not_count() -> None:
+    deadline = RequestDeadline()
+    deadline.read(SECOND, Position(Part.VALUE, 1), 5000)
+    deadline.extend(4 * SECOND)
+    assert deadline.due() == 5 * SECOND + VALUE_PAUSE
+
+
+@pytest.mark.parametrize(("written", "part", "lines"), [
+    (b"", Part.NONE, 0), (b"mg", Part.LINE, 0), (mg(1), Part.NONE, 1), (mg(1) + b"m", Part.LINE, 1),
+    (ms(1)[:-3], Part.VALUE, 1), (ms(1), Part.NONE, 1), (ms(1) + mg(2), Part.NONE, 2),
+    (b"ms k 99 O1 Pc=once,d=9\r\n", Part.VALUE, 1), (b"ms k 99 O1 Pc=once,d=9\r\n" + b"x" * 99, Part.VALUE, 1),
+    (b"ms k -1 O1 Pc=once,d=9\r\nxx", Part.NONE, 1),
+])
+def test_where_a_stream_stands_is_told_for_every_part_of_a_request(written: bytes, part: Part, lines: int) -> None:
+    for whole in (8, 100):
+        side = ClientSide(2048, 4096, whole)
+        side.feed(written)
+        assert side.position() == Position(part, lines)
+
+
+# ---- what the deadline meets ----
+
+
+def test_a_value_that_a_cache_host_holds_up_is_not_its_clients_fault() -> None:
+    net = Net(limits={"whole": 8, "piece": 4, "stalled": 9 * SECOND})
+    client = net.client()
+    client.feed(b"ms k 20 O1 Pc=once,d=800\r\n")
+    client.protocol.hold(True)
+    net.run(4000)
+    assert not client.lost
+    client.protocol.hold(False)
+    net.run(int(VALUE_PAUSE // MS) - 100)
+    assert not client.lost
+    net.run(300)
+    assert client.lost, net.trace
+
+
+def test_a_large_value_that_stops_costs_its_cache_host_the_connection_and_has_not_run() -> None:
+    net = Net(limits={"whole": 8, "piece": 4})
+    client = net.client()
+    client.feed(mg(1) + b"ms k 20 O2 Pc=once,d=800\r\n0123456789")
+    first, second = net.accept(), net.accept()
+    first.feed(va(1)) if "O1" in net.trace[-2] + net.trace[-1] else second.feed(va(1))
+    net.run(2600)
+    assert client.lost and all(wire.lost for wire in net.wires[2:]) and not net.door.txs, net.trace
+    assert OVERDUE.decode() in "".join(net.trace)
+
+
+def test_bytes_that_lie_unread_keep_a_request_until_they_are_read() -> None:
+    net = Net()
+    client = net.client()
+    client.feed(mg(1)[:9])
+    client.unread = b"x"
+    net.run(4000)
+    assert not client.lost
+    client.unread = None
+    net.run(100)
+    assert client.lost
+
+
+@pytest.mark.parametrize("step", ["drain", "end", "reload"])
+def test_on_loopback_whoever_stops_is_ended_in_time_whatever_the_process_is_told_meanwhile(
+        tmp_path: Path, step: str) -> None:
+    clients = [Stopping([b"mg k v"]), Stopping([b"ms k 9 O1 Pc=once,d=900\r\nx"])]
+    store, listen, management = Store(3), free(), free()
+    known = {"revision": 1, "complete": True, "members": [member(1) | {"host_port": f"127.0.0.1:{store.port}"}]}
+    config = told(listen, free(), known=known, management=f"127.0.0.1:{management}")
+    with serving(config, tmp_path) as process:
+        acts = {"drain": lambda: call(management, OUT), "end": process.terminate,
+                "reload": lambda: process.send_signal(SIGHUP)}
+        timer = Timer(1.0, acts[step])
+        timer.start()
+        watched(listen, clients, OWED + 1)
+        timer.join()
+    assert all(0 < one.closed - one.written <= OWED for one in clients), clients
+
+
+# ---- the rules, and their check at run time ----
+
+
+def test_a_close_waits_for_what_is_owed_and_for_what_lies_unread() -> None:
+    for reason in CloseReason:
+        free_to_go = reason in UNCONDITIONAL
+        assert may_close(reason, owing=False)
+        assert may_close(reason, owing=True) == may_close(reason, owing=False, unread=True) == free_to_go
+
+
+@pytest.mark.parametrize(("attempt", "departed", "why"), [
+    (Attempt(False, True, 10, 0, False), False, None), (Attempt(True, True, 10, 0, False), False, Refusal.ANSWERED),
+    (Attempt(False, True, 5, 0, False), False, Refusal.OVERDUE), (Attempt(False, False, 5, 0, False), False, None),
+    (Attempt(False, True, 10, 5, False), False, Refusal.FORGOTTEN),
+    (Attempt(False, True, 10, 6, True), False, Refusal.STALE),
+    (Attempt(False, True, 10, 6, False), True, Refusal.DEPARTED),
+])
+def test_an_attempt_begins_by_the_rules_alone(attempt: Attempt, departed: bool, why: Refusal | None) -> None:
+    assert attempt_refusal(attempt, 5, lambda: departed) is why
+
+
+def test_what_is_done_against_the_rules_is_counted_and_kept() -> None:
+    net = Net()
+    client = net.client()
+    client.feed(mg(1))
+    owed = client.protocol.owed[0]
+    client.protocol.close(CloseReason.IDLE)
+    owed.put(b"SERVER_ERROR busy\r\n")
+    owed.put(b"SERVER_ERROR failed\r\n")
+    net.door.safety.begun(True, "1", 1)
+    safety = net.door.safety
+    assert safety.violations == {Violation.CLOSED_OWING: 1, Violation.ANSWERED_TWICE: 1, Violation.BEGUN_FORBIDDEN: 1}
+    assert 'ternquay_violations_total{reason="closed_owing"} 1' in safety.metrics()
+    assert "violation: a request was answered a second time 1" in safety.latest()
+    assert "violations: 3" in safety.summary()
+
+
+def test_on_loopback_operators_read_why_clients_were_closed(tmp_path: Path) -> None:
+    listen, management = free(), free()
+    with serving(told(listen, free(), management=f"127.0.0.1:{management}"), tmp_path) as process:
+        watched(listen, [Stopping([b"mg k v"]), Stopping([b"ms k -1 O1 Pc=once,d=9\r\n"])], OWED + 1)
+        metrics, events = (talk(management, b"GET /control/%b HTTP/1.1\r\nHost: x\r\n\r\n" % name)
+                           for name in (b"metrics", b"events"))
+        process.terminate()
+        assert process.wait(10) == 0
+    assert b'client_closes_total{reason="request_overdue"} 1' in metrics and b'reason="malformed"} 1' in metrics
+    assert b'violations_total{reason="closed_owing"} 0' in metrics
+    assert b"client closed: its request was not whole in time" in events
+    log = (tmp_path / "log").read_text()
+    assert "closed clients: malformed 1, request_overdue 1; violations: 0" in log
