Half a call and half a member's frame have a bound of their own

The administration API's time for a call began anew with each byte, so a caller that drips held one of its places for ever; a link between members on which half a frame stood still was read on without end. Change: a call has to be whole within the port's idle time from its first byte, while none waits for its answer; a frame keeps the deadline of net/request_deadline.py.

--- a/ternquay/net/http.py
+++ b/ternquay/net/http.py
@@ -20,7 +20,7 @@
 
     body: int
     connections: int
-    idle: int  # without a byte
+    idle: int  # without a byte, and from the first byte of a call to its last
     one_call: bool = False  # to a connection
     headers: int = 8192
     lines: int = 64
@@ -55,7 +55,7 @@
 
     def process(self) -> None:
         if not self.turned:
-            self.channel.called = True
+            self.channel.whole()
             self.channel.port.called(self)
 
     def reply(self, status: int, body: bytes, headers: Mapping[str, str]) -> None:
@@ -83,12 +83,35 @@
         self.timeOut, self.totalHeadersSize, self.maxHeaders = limits.idle, limits.headers, limits.lines
         self.MAX_LENGTH = limits.headers
         self.called = False  # a whole call has come
+        self.answering = False  # a call is whole and has no answer yet; the library takes one at a time
+        self.overdue: Any = None  # the timer of a call that is not whole
 
     def connectionMade(self) -> None:
         super().connectionMade()
         self.port.came(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        # The library's own time begins anew with each byte: a byte a second would hold a place for ever.
+        if self.overdue is None and not self.answering:
+            self.overdue = self.port.reactor.callLater(self.port.call_limits.idle, self.forceAbortClient)
+        super().dataReceived(data)
+
+    def whole(self) -> None:
+        """A call has come whole."""
+        self.called = self.answering = True
+        self._in_time()
+
+    def requestDone(self, request: Any) -> None:
+        self.answering = False
+        super().requestDone(request)
+
+    def _in_time(self) -> None:
+        if self.overdue is not None and self.overdue.active():
+            self.overdue.cancel()
+        self.overdue = None
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._in_time()
         self.port.all.pop(self, None)
         super().connectionLost(reason)
 
@@ -116,6 +139,7 @@
     """A listener for calls."""
 
     noisy = False
+    reactor: Any
 
     def __init__(self, limits: CallLimits) -> None:
         self.call_limits = limits
--- a/ternquay/peers/links.py
+++ b/ternquay/peers/links.py
@@ -19,11 +19,13 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from ternquay.net.request_deadline import SECOND, Part, Position, RequestDeadline
 from ternquay.peers.frames import FRAME_MOST
 
 DIAL, AGAIN = 0.5, 0.2  # seconds
 GONE_MS = 2000  # without an acknowledgement of what was sent, a connection is over
 UNPROVEN_MOST, UNPROVEN_S = 32, 5.0
+LOOK = 0.25  # seconds between two looks for frames that stand still
 DATAGRAM_MOST = 8192
 
 Where = tuple[str, int]
@@ -117,10 +119,26 @@
     proven = False
     factory: "Door"
 
+    def __init__(self) -> None:
+        self.frames = 0
+        self.deadline = RequestDeadline()
+
     def connectionMade(self) -> None:
         self.factory.came(self)
 
+    def dataReceived(self, data: bytes) -> None:
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        # A frame is a value whose length was told: one that does not go on holds up all behind it.
+        part = Part.VALUE if self._unprocessed else Part.NONE
+        self.deadline.read(self.factory.now(), Position(part, self.frames), len(data))
+
+    def overdue(self) -> bool:
+        """Whether a frame has begun to arrive and is not whole in its time: the link may be out of step."""
+        due = self.deadline.due()
+        return due is not None and self.factory.now() >= due
+
     def stringReceived(self, string: bytes) -> None:
+        self.frames += 1
         if self.factory.taken(string):
             self.proven = True
         elif not self.proven:
@@ -141,6 +159,21 @@
     def __init__(self, reactor: Any, taken: Callable[[bytes], bool], dropped: "Counter[str]") -> None:
         self.reactor, self.taken, self.dropped = reactor, taken, dropped
         self.all: dict[Incoming, None] = {}
+        self.looks: Any = None  # the next look for frames that are overdue
+
+    def now(self) -> int:
+        return int(self.reactor.seconds() * SECOND)
+
+    def look(self) -> None:
+        """Ends the links on which a frame stands still."""
+        self.looks = self.reactor.callLater(LOOK, self.look)
+        for one in [one for one in self.all if one.overdue()]:
+            self.dropped["half a frame"] += 1
+            one.transport.abortConnection()  # type: ignore[union-attr]
+
+    def end(self) -> None:
+        if self.looks is not None and self.looks.active():
+            self.looks.cancel()
 
     def came(self, one: Incoming) -> None:
         unproven = [other for other in self.all if not other.proven]
@@ -196,6 +229,7 @@
             raise
         for link in self.links.values():
             link.dial()
+        self.door.look()
         logger.info("members of the fleet reach this one at {}:{}", host, port)
 
     def send(self, name: str, text: bytes) -> None:
@@ -211,6 +245,7 @@
         for port in (self.port, self.udp):
             if port is not None:
                 port.stopListening()
+        self.door.end()
         for link in self.links.values():
             link.end()
         for one in list(self.door.all):
--- /dev/null
+++ b/tests/test_half_messages.py
@@ -0,0 +1,76 @@
+"""Half a message of a caller or of another member: the class of docs/incidents/stopped-clients.md beside clients."""
+
+from collections import Counter
+from typing import Any
+
+import pytest
+from twisted.internet.protocol import connectionDone
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from ternquay.net.http import CallIn, CallLimits, CallPort
+from ternquay.peers.links import Door, Incoming
+
+
+class Port(CallPort):
+    """Answers nothing by itself."""
+
+    def __init__(self, reactor: Any) -> None:
+        super().__init__(CallLimits(body=100, connections=4, idle=2))
+        self.reactor = reactor
+        self.calls: list[CallIn] = []
+
+    def called(self, call: CallIn) -> None:
+        self.calls.append(call)
+
+
+def opened(protocol: Any) -> Any:
+    transport: Any = StringTransport()  # type: ignore[no-untyped-call]
+    protocol.makeConnection(transport)
+    return transport
+
+
+@pytest.mark.parametrize("text", [b"GET /x HTTP/1.1\r\nHost: somewhere\r\n",
+                                  b"POST /x HTTP/1.1\r\nContent-Length: 99\r\n\r\n" + b"x" * 50])
+def test_a_caller_that_drips_a_call_is_closed_and_one_that_waits_for_its_answer_is_not(text: bytes) -> None:
+    clock: Any = Clock()
+    port = Port(clock)
+    drips, waits = port.buildProtocol(None), port.buildProtocol(None)
+    drips.callLater = waits.callLater = clock.callLater
+    ended, kept = opened(drips), opened(waits)
+    waits.dataReceived(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+    for at in range(0, len(text), 5):
+        drips.dataReceived(text[at:at + 5])
+        clock.advance(0.4)
+    assert ended.disconnecting or ended.disconnected
+    assert not kept.disconnecting and len(port.calls) == 1
+    port.calls[0].reply(200, b"", {})
+    waits.dataReceived(b"GET /y HTTP/1.1\r\n")
+    clock.advance(1.0)
+    waits.dataReceived(b"Host: y\r\n\r\n")
+    assert len(port.calls) == 2 and not kept.disconnecting
+
+
+def test_a_link_between_members_on_which_half_a_frame_stands_still_is_ended() -> None:
+    clock: Any = Clock()
+    dropped: Counter[str] = Counter()
+    door = Door(clock, lambda text: True, dropped)
+    door.look()
+    links = [Incoming() for _ in range(3)]
+    transports = []
+    for one in links:
+        one.factory = door
+        transports.append(opened(one))
+    whole, half, steps = b"\0\0\0\x02ab", b"\0\x0f\0\0ab", b"\0\0\0\x64" + b"x" * 100
+    for second in range(8):
+        links[0].dataReceived(whole)
+        if second == 1:
+            links[1].dataReceived(whole + half)
+        links[2].dataReceived(steps[second:second + 1])
+        clock.advance(1.0)
+    assert [bool(one.disconnecting or one.disconnected) for one in transports] == [False, True, True]
+    assert dropped["half a frame"] >= 2
+    for one in links:
+        one.connectionLost(connectionDone)
+    door.end()
+    assert not clock.getDelayedCalls()
