--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -253,6 +253,26 @@
     typer.echo(f"highest: {found['highest_rate']:.0f} tx/s" + (" (bound by the rig)" if found["bound_by_rig"] else ""))
 
 
+@app.command("soak")
+def soak_seeds(out: Out, seed: Seed = 1, seeds: Annotated[int, typer.Option("--seeds", min=1, max=1000)] = 5,
+               seconds: Annotated[float, typer.Option("--seconds", min=10.0, max=600.0)] = 20.0,
+               balancers: Annotated[int, typer.Option("--balancers", min=1, max=64)] = 24,
+               faults: Annotated[int, typer.Option("--faults", min=0, max=200)] = 30,
+               build: Annotated[str, typer.Option("--build", help="A revision, or `now`.")] = "now") -> None:
+    """Random faults that overlap, over many processes, a day of its own for each seed."""
+    from ternquay.rig.soak import SoakTerms, soak, summary
+    scratch = Path(tempfile.mkdtemp(prefix="ternquay-rig-"))
+    try:
+        with told_in_a_line():
+            terms = SoakTerms(seconds=seconds, balancers=balancers, faults=faults)
+            found = soak(read_day("calm"), range(seed, seed + seeds), terms, contender(build, scratch), out,
+                         lambda result: typer.echo(result.line()))
+    finally:
+        shutil.rmtree(scratch, ignore_errors=True)
+    typer.echo(summary(found))
+    raise typer.Exit(BROKEN if any(result.broken() for result in found) else 0)
+
+
 @app.command()
 def fleet(day: DayName = "calm", seed: Seed = 1, hosts: Hosts = None,
           config: Annotated[Path, typer.Option("--config", help="Where a balancer's configuration goes.")] = Path(
--- a/ternquay/rig/judge.py
+++ b/ternquay/rig/judge.py
@@ -3,8 +3,8 @@
     breaches = judge(day, saw)     # records.Saw -> each breach with its rule, time, what it is, and evidence
 
 The rules, in result's words: `lost` (rule 1: one answer, in time, and nothing after it), `twice` (rule 2), `drains`
-(rule 3), `cold` (rule 4), and `wrong`: an answer out of order, for the wrong id, or made by no cache host, and a
-command that no client wrote.
+(rule 3), `cold` (rule 4), `stopped` (a client that stopped in the middle of a request was left waiting), and `wrong`:
+an answer out of order, for the wrong id, or made by no cache host, and a command that no client wrote.
 """
 
 from bisect import bisect_right
@@ -17,7 +17,8 @@
 from ternquay.rig.records import Hop, Life, Saw, Told, Try
 from ternquay.rig.terms import MS, Day, ProfileTerms
 
-RULES = ("lost", "twice", "drains", "cold", "wrong")
+RULES = ("lost", "twice", "drains", "cold", "wrong", "stopped")
+STOPPED = 3000 * MS  # in which a client that stops in the middle of a request has its error or its close
 CROSSED = 100 * MS  # a close that crosses a command comes back this soon at the latest
 ANSWERS = ("value", "receipt", "rolled-back", "abandoned", "error")
 
@@ -94,7 +95,7 @@
 def judge(day: Day, saw: Saw) -> list[Breach]:
     case = _Case(day, saw)
     found = [*_lost(case), *_extras(case), *_after(case), *_twice(case), *_effects(case), *_drains(case),
-             *_cold(case), *_wrong(case), *_strange(case)]
+             *_cold(case), *_wrong(case), *_strange(case), *_stopped(case)]
     return sorted(found, key=lambda b: b.at)
 
 
@@ -137,6 +138,18 @@
                 yield Breach("lost", hop.came, "a hop after the final answer", shown(one, [hop]))
 
 
+def _stopped(case: _Case) -> Iterator[Breach]:
+    for one in case.saw.stops:
+        until = one.written + STOPPED + case.slack
+        # For as long as its process was stopped it could do nothing.
+        until += sum(pause.ended - pause.began for pause in case.saw.pauses
+                     if pause.balancer == one.balancer and pause.began <= until and one.began <= pause.ended)
+        ends = [at for at in (one.told, one.closed) if at]
+        late = min(ends, default=one.watched) > until
+        if one.written and late and not case.died(one.balancer, one.written, until):
+            yield Breach("stopped", until, "left without an error and a close", msgspec.structs.asdict(one))
+
+
 # ---- rule 2 ----
 
 
--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -435,6 +435,8 @@
     standins = [child("standins" if not n else f"standins-{n}", "ternquay.rig.standins", core, shard=n)
                 for n, core in enumerate(cores.standins)]
     clients = [child(f"load-{n}", "ternquay.rig.load", core, index=n) for n, core in enumerate(cores.loads)]
+    if day.clients.stops:
+        clients.append(child("stopping", "ternquay.rig.stopping", cores.loads[-1]))
     told = [one.told() for one in standins][0]
     for balancer in balancers:
         balancer.configure(told["discovery"][balancer.number][0], json.loads(told["known"]))
@@ -449,7 +451,7 @@
         running.say(f"begin {begin}\n")
     events = balancer_events(planned(day, seed), balancers, [second for _, second in told["discovery"]])
     follow(day, begin, events, balancers, children, progress)
-    return gathered(stage, day, seed, begin, balancers, [one.name for one in standins], len(clients))
+    return gathered(stage, day, seed, begin, balancers, [one.name for one in standins], loads)
 
 
 def gathered(stage: Stage, day: Day, seed: int, begin: int, balancers: list[Balancer], standins: list[str],
@@ -457,13 +459,14 @@
     try:
         fleet = records.together([records.read_fleet(stage.out / f"{name}.saw") for name in standins])
         clients = [records.read_load(stage.out / f"load-{n}.saw") for n in range(loads)]
+        stops = records.read_stops(stage.out / "stopping.saw") if day.clients.stops else []
     except (OSError, msgspec.DecodeError) as fault:
         raise PlayError(f"what was seen can't be read: {fault}") from fault
-    for name in (*standins, *(f"load-{n}" for n in range(loads))):
+    for name in (*standins, *(f"load-{n}" for n in range(loads)), *(["stopping"] if day.clients.stops else [])):
         (stage.out / f"{name}.saw").unlink()
         (stage.out / f"{name}.json").unlink()
     return records.Saw(
         day=day.name, seed=seed, seconds=day.seconds, begin=begin, loads=clients, fleet=fleet,
         lives=[life for b in balancers for life in b.lives], samples=[s for b in balancers for s in b.samples],
-        pauses=[pause for b in balancers for pause in b.pauses],
+        pauses=[pause for b in balancers for pause in b.pauses], stops=stops,
     )
--- a/ternquay/rig/records.py
+++ b/ternquay/rig/records.py
@@ -41,6 +41,17 @@
     text: str
 
 
+class Stop(msgspec.Struct, array_like=True):
+    """A client that stopped in the middle of a request and stayed."""
+
+    balancer: int
+    began: int  # when it dialled
+    written: int = 0  # its last byte; 0: its connection never came up
+    told: int = 0  # an error, as its first
+    closed: int = 0
+    watched: int = 0  # until when it was looked at
+
+
 class Hop(msgspec.Struct, array_like=True):
     """One command that reached a cache host whole, as the host saw it."""
 
@@ -156,6 +167,7 @@
     lives: list[Life]
     samples: list[Sample]
     pauses: list[Pause] = []
+    stops: list[Stop] = []
 
 
 def write(path: Path, what: Any) -> None:
@@ -181,5 +193,9 @@
     return msgspec.msgpack.decode(path.read_bytes(), type=LoadSaw)
 
 
+def read_stops(path: Path) -> list[Stop]:
+    return msgspec.msgpack.decode(path.read_bytes(), type=list[Stop])
+
+
 def read_fleet(path: Path) -> FleetSaw:
     return msgspec.msgpack.decode(path.read_bytes(), type=FleetSaw)
--- a/ternquay/rig/standins/reader.py
+++ b/ternquay/rig/standins/reader.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass, field
 
-LINE_MOST, VALUE_MOST, KEY_MOST = 4096, 1 << 16, 250
+LINE_MOST, VALUE_MOST, KEY_MOST = 4096, 4 << 20, 250
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -82,6 +82,7 @@
     leaves_early: Share = 0.002
     pipelined: Share = 0.05
     connections: Count = 40  # at most, to one balancer from one load process
+    stops: Annotated[float, msgspec.Meta(ge=0.0)] = 0.0  # a second: that stop in the middle of a request and stay
 
 
 class ListTerms(Terms, frozen=True):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -184,7 +184,7 @@
 def test_a_short_day_breaks_no_rule(day: str, words: list[str], tmp_path: Path) -> None:
     """Bounds hold on any machine: what the day asks for is answered, whatever it took."""
     _, result = played(tmp_path / "out", day, *words)
-    assert result["rules"] == {"lost": 0, "twice": 0, "drains": 0, "cold": 0, "wrong": 0}
+    assert result["rules"] == {"lost": 0, "twice": 0, "drains": 0, "cold": 0, "wrong": 0, "stopped": 0}
     assert result["crashes"] == 0 and result["txs"] > 100
     assert result["committed"] > 0.6 * result["txs"]
     assert result["txs"] == result["committed"] + result["rolled_back"] + result["abandoned"]
