A cache host that stops in a large value has a bound of its own, both ways

A large answer on which nothing came was cut after the shared 5 s; a large write that the cache host took no more of had no bound but its client's, who was reset without a word. Change: an answer is broken off after 2.5 s without a byte; a write that is not taken for 5 s ends as never run, and its client is told busy.

--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -20,6 +20,7 @@
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.listing import Address
 from ternquay.net.meta import Answer, Begun, HostSide, Piece
+from ternquay.net.request_deadline import VALUE_PAUSE
 from ternquay.net.sockets import Sockets
 
 
@@ -42,6 +43,7 @@
         self.flow: Flow | None = None  # a large value that is coming in
         self.pours: Flow | None = None  # one that is going out, as the value of `writing`
         self.filled = False  # the system has not taken yet what it was given of that
+        self.filled_at = 0  # since when
         self.note = 0  # what the cache host said of the read that `flow` answers
         self.moved = 0  # when something of `flow` came, or was let come again
 
@@ -101,7 +103,8 @@
             hop.written = True
             self.transport.write(hop.tx.message.forward(left))
         else:
-            flow.touched = self.filled = True
+            flow.touched = True
+            self._filled()
             self.pours, flow.sink = flow, self.pour
             self.transport.write(hop.tx.message.forward(hop.tx.ttl // MS))
         # The library would write it in the loop's next turn, and who was there at the last look may have gone by then.
@@ -119,11 +122,15 @@
             hop.written = True
             data += b"\r\n"
         if data:
-            self.filled = True
+            self._filled()
             self.transport.write(data)
         else:
             flow.taken()
 
+    def _filled(self) -> None:
+        """The system is given some of a large value."""
+        self.filled, self.filled_at = True, self.pool.door.now()
+
     def stopProducing(self) -> None:
         pass
 
@@ -200,8 +207,14 @@
     def silent(self) -> bool:
         """A large value has begun, and nothing more of it comes though nobody holds it back."""
         flow = self.flow
-        return flow is not None and not flow.held_back and (
-            self.pool.door.now() - self.moved > self.pool.limits.stalled)
+        return flow is not None and not flow.held_back and self.pool.door.now() - self.moved > VALUE_PAUSE
+
+    def takes_nothing(self) -> bool:
+        """A large value goes out, and the cache host takes no more of it: its client is held back meanwhile.
+
+        A piece counts as taken once all of it is, so this bound is longer than the one for what comes in.
+        """
+        return self.filled and self.up and self.pool.door.now() - self.filled_at > self.pool.limits.stalled
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self.rested >= 0 and not self.closing:
@@ -466,3 +479,6 @@
             for connection in [c for c in place.all if c.silent() and not c.lies_unread()]:
                 self.door.tell("WARNING", "{} breaks off a large value", place.address)
                 connection.drop()
+            for connection in [c for c in place.all if c.takes_nothing()]:
+                self.door.tell("WARNING", "{} takes no more of a large value", place.address)
+                connection.drop()
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -32,7 +32,7 @@
     attempt_refusal,
     may_close,
 )
-from tests.helper import FACTS, Net, member
+from tests.helper import FACTS, Net, Wire, member
 from tests.test_flow import Store
 from tests.test_management import OUT, call, talk
 from tests.test_net import mg, ms, va
@@ -316,3 +316,32 @@
     assert b"client closed: its request was not whole in time" in events
     log = (tmp_path / "log").read_text()
     assert "closed clients: malformed 1, request_overdue 1; violations: 0" in log
+
+
+# ---- the other side of a request: a cache host that stops in the middle ----
+
+
+def test_a_cache_host_that_takes_no_more_of_a_large_value_costs_its_client_no_silence() -> None:
+    net = Net(limits={"whole": 8, "piece": 4})
+    client = net.client()
+    client.feed(b"ms k 40 O1 Pc=once,d=800\r\n0123456789")
+    *_, factory, _, _ = net.reactor.tcpClients.pop(0)
+    stuck = Wire(net, "host 1", factory.buildProtocol(None))  # the system takes nothing of it
+    net.run(2000)
+    client.feed(b"0123456789")  # and more of it is not read
+    net.run(3300)
+    assert stuck.lost and "client 0 < b'SERVER_ERROR busy" in "".join(net.trace), net.trace  # it never ran
+    client.feed(b"0123456789" * 2 + b"\r\nmn\r\n")
+    assert not client.lost and "MN" in net.trace[-1], net.trace
+
+
+def test_a_cache_host_that_stops_in_a_large_value_has_its_client_closed_short_in_time() -> None:
+    net = Net(limits={"whole": 8, "piece": 4})
+    client = net.client()
+    client.feed(mg(1))
+    host = net.accept()
+    host.feed(b"VA 20 O1 h1\r\n0123456789")
+    net.run(2400)
+    assert not client.lost
+    net.run(500)
+    assert client.lost and host.lost, net.trace
