--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -20,7 +20,6 @@
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.listing import Address
 from ternquay.net.meta import Answer, Begun, HostSide, Piece
-from ternquay.net.request_deadline import VALUE_PAUSE
 from ternquay.net.sockets import Sockets
 
 
@@ -207,7 +206,8 @@
     def silent(self) -> bool:
         """A large value has begun, and nothing more of it comes though nobody holds it back."""
         flow = self.flow
-        return flow is not None and not flow.held_back and self.pool.door.now() - self.moved > VALUE_PAUSE
+        return flow is not None and not flow.held_back and (
+            self.pool.door.now() - self.moved > self.pool.limits.stalled)
 
     def takes_nothing(self) -> bool:
         """A large value goes out, and the cache host takes no more of it: its client is held back meanwhile.
