--- a/ternquay/hosted/tenants/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -22,7 +22,7 @@
 from ternquay.net.limits import SECOND, Limits, fill
 from ternquay.net.listing import Address, Member
 from ternquay.net.pool import HostConnection, Pool
-from ternquay.net.safety import CloseReason
+from ternquay.net.safety import CloseReason, ServerCloseReason
 from ternquay.net.turn import Turn
 
 MOST_HOPS, BACKOFF_MOST, SPARE = 4, SECOND, 8
@@ -130,7 +130,7 @@
         """Closes all there is, at once."""
         for place in list(self.places.values()):
             for connection in list(place.all):
-                connection.drop()
+                connection.drop(ServerCloseReason.REMOVED)
 
 
 class TenantDoor(Door):
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -205,6 +205,7 @@
             tx = self.txs.get(a.tx)
             if tx is not None and not tx.answered:
                 self._answered(tx)
+                self.safety.refuses(RefuseReason.DECISIONS, tx.asker.id())
                 tx.asker.roll_back(a.backoff)
         elif isinstance(a, m.Abandon):
             self._abandon(a.tx)
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -20,6 +20,7 @@
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.listing import Address
 from ternquay.net.meta import Answer, Begun, HostSide, Piece
+from ternquay.net.safety import ServerCloseReason
 from ternquay.net.sockets import Sockets
 
 
@@ -157,14 +158,14 @@
                 self.machine.fault = "more than there is room for"
         if self.machine.fault and not self.closing:
             self.pool.door.tell("WARNING", "{} answered badly: {}", self.host.address, self.machine.fault)
-            self.drop()
+            self.drop(ServerCloseReason.BAD_ANSWER)
 
     def answered(self, answer: Answer) -> None:
         hop = self.hops.popleft()
         if hop is self.writing and not hop.written:
             # Before its last byte was written it can't have run, whatever the cache host says.
             self.pool.door.hop_ended(hop, answer.end if answer.end is m.End.FULL else m.End.UNREACHABLE)
-            return self.drop()
+            return self.drop(ServerCloseReason.BAD_ANSWER)
         # Before the door hears of it, as what that sets free may go to the same cache host.
         if not self.machine.fault:
             self.settle()
@@ -174,9 +175,13 @@
 
     def begins(self, begun: Begun) -> None:
         self.note, self.moved = begun.note, self.pool.door.now()
-        self.flow = Flow(begun.length, self.pool.limits.piece, self.hold, self.drop)
+        self.flow = Flow(begun.length, self.pool.limits.piece, self.hold, self.unwanted)
         self.hand_back()  # against what is small behind what is large
 
+    def unwanted(self) -> None:
+        """Nobody takes the large value that comes in."""
+        self.drop(ServerCloseReason.VALUE_UNWANTED)
+
     def comes(self, data: bytes) -> None:
         """With its first byte it is the answer: it has come in time, and no other hop can give it any more."""
         flow, hop = self.flow, self.hops[0]
@@ -246,7 +251,7 @@
         if self.up:
             self.settle()
         else:
-            self.drop()
+            self.drop(ServerCloseReason.LEAVING)
 
     def hand_back(self) -> None:
         """What was not begun ends as never sent, and goes out elsewhere."""
@@ -261,12 +266,13 @@
         if not self.hops:
             self.pool.idle(self)
         elif all(hop.ended for hop in self.hops) and self.flow is None:
-            self.drop()
+            self.drop(ServerCloseReason.GIVEN_UP)
 
-    def drop(self) -> None:
+    def drop(self, reason: ServerCloseReason) -> None:
         """At once, with all that is on it."""
         if not self.closing:
             self.closing = True
+            self.pool.door.safety.closing_server(reason)
             self.pool.lost(self)
             if self.up:
                 self.transport.abortConnection()
@@ -274,9 +280,11 @@
                 self.connector.stopConnecting()  # there is no transport yet
             self.fail()
 
-    def retire(self) -> None:
+    def retire(self, reason: ServerCloseReason) -> None:
+        """An idle one: nothing is on it."""
         if not self.closing:
             self.closing = True
+            self.pool.door.safety.closing_server(reason)
             self.pool.lost(self)
             self.finish()
 
@@ -415,7 +423,7 @@
             if rested < self.limits.idle and self.wear.holds(rested, now) and connection.untouched():
                 connection.rested = rested
                 return connection
-            connection.retire()
+            connection.retire(ServerCloseReason.UNFIT)
         if self.sockets.may_open():
             return self._dial(place)
         if not self.share or not share:
@@ -436,7 +444,7 @@
         # One that was taken up for a hop that was not begun has rested on.
         connection.idle_since, connection.rested = self.door.now() - max(0, connection.rested), -1
         if not connection.current():
-            connection.retire()
+            connection.retire(ServerCloseReason.LEAVING)
         elif connection not in connection.host.idle:
             connection.host.idle.append(connection)
 
@@ -454,7 +462,7 @@
 
     def _close_idle(self, place: HostPlace) -> None:
         for connection in list(place.idle):
-            connection.retire()
+            connection.retire(ServerCloseReason.LEAVING)
 
     def shed(self) -> bool:
         """Closes the connection that has been idle longest."""
@@ -462,7 +470,7 @@
         oldest = min(first, key=lambda c: c.idle_since, default=None)
         if oldest is None:
             return False
-        oldest.retire()
+        oldest.retire(ServerCloseReason.IDLE)
         return True
 
     def sweep(self) -> None:
@@ -475,10 +483,10 @@
         before = self.door.now() - self.limits.idle
         for place in list(self.places.values()):
             while place.idle and place.idle[0].idle_since <= before:
-                place.idle[0].retire()
+                place.idle[0].retire(ServerCloseReason.UNFIT)
             for connection in [c for c in place.all if c.silent() and not c.lies_unread()]:
                 self.door.tell("WARNING", "{} breaks off a large value", place.address)
-                connection.drop()
+                connection.drop(ServerCloseReason.VALUE_STOPPED)
             for connection in [c for c in place.all if c.takes_nothing()]:
                 self.door.tell("WARNING", "{} takes no more of a large value", place.address)
-                connection.drop()
+                connection.drop(ServerCloseReason.VALUE_STOPPED)
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -38,9 +38,23 @@
     REMOVED = "its listener was taken away"
 
 
+class ServerCloseReason(StrEnum):
+    """Why the balancer ends a connection to a cache host."""
+
+    BAD_ANSWER = "its answer can't be read, or is too large"
+    GIVEN_UP = "only attempts that were given up are on it"
+    VALUE_STOPPED = "a large value stands still on it"
+    VALUE_UNWANTED = "nobody takes its large value any more"
+    LEAVING = "its host is leaving, or has another address"
+    UNFIT = "it was closed or written to while idle, or idle for too long"
+    IDLE = "idle, and its place was wanted"
+    REMOVED = "its tenant is gone"
+
+
 class RefuseReason(StrEnum):
-    """Why a request was refused before the decisions were asked."""
+    """Why a request was refused."""
 
+    DECISIONS = "the decisions refused it"
     LATE_TURN = "the loop is behind"
     CROWDED = "too many connections"
     PIPELINED = "too many requests wait on its connection"
@@ -117,6 +131,7 @@
     def __init__(self, now: Callable[[], int], tell: Callable[..., None]) -> None:
         self.now, self.tell = now, tell
         self.closes: Counter[CloseReason] = Counter()
+        self.server_closes: Counter[ServerCloseReason] = Counter()
         self.refusals: Counter[Refusal] = Counter()
         self.refused: Counter[RefuseReason] = Counter()
         self.violations: Counter[Violation] = Counter()
@@ -148,10 +163,17 @@
             self._keep("client closed", reason, owed[0] if owed else "")
             self.tell("INFO", f"a client was closed: {reason.value}")
 
+    def closing_server(self, reason: ServerCloseReason) -> None:
+        """A connection to a cache host is ended."""
+        self.server_closes[reason] += 1
+        if reason in (ServerCloseReason.BAD_ANSWER, ServerCloseReason.VALUE_STOPPED):
+            self._keep("server connection closed", reason, "")
+
     def refuses(self, reason: RefuseReason, request: str) -> None:
-        """A request is refused without the decisions."""
+        """A request is refused: a retry of it is harmless."""
         self.refused[reason] += 1
-        self._keep("request refused", reason, request)
+        if reason is not RefuseReason.DECISIONS:  # those are many, and would leave no room for the rest
+            self._keep("request refused", reason, request)
 
     def answering(self, before: bool, request: str) -> bool:
         """Whether an answer may be given: not if one was before."""
@@ -163,7 +185,9 @@
         """All counts as text, a line each, in the exposition format of Prometheus."""
         return "\n".join([
             f"ternquay_attempts_repeated_total {self.retries}",
-            *counted("client_closes", self.closes, CloseReason), *counted("attempts_not_begun", self.refusals, Refusal),
+            *counted("client_closes", self.closes, CloseReason),
+            *counted("server_closes", self.server_closes, ServerCloseReason),
+            *counted("attempts_not_begun", self.refusals, Refusal),
             *counted("requests_refused", self.refused, RefuseReason),
             *counted("violations", self.violations, Violation)])
 
