accept() may fail in every documented way: one connection, or a pause, and no traceback

Cause: the library's accept loop logs a traceback for EHOSTUNREACH, ENETDOWN, EPERM and others, and closes clients unread where descriptors are short; with the backlog still readable it then spins. setTcpNoDelay logs a traceback where the option can't be set.

--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from twisted.internet.protocol import connectionDone
-from twisted.internet.tcp import Port
 from twisted.python.failure import Failure
 
 from ternquay.hosted.shared.fairness import Dues, Lent
@@ -17,6 +16,7 @@
 from ternquay.net.door import Door
 from ternquay.net.front import Front
 from ternquay.net.limits import Limits
+from ternquay.net.listener import Listener
 from ternquay.net.safety import CloseReason, RefuseReason
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import Turn
@@ -297,12 +297,10 @@
         self.busy_clients -= client.open == 0
 
 
-class TenantListener(Port):
+class TenantListener(Listener):
     """Accepts in its tenant's turns when others wait; up to as many as fit."""
 
     front: TenantFront
-    accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
-    numberAccepts = property(lambda self: self.steps(), lambda self, count: None)
     paused = False
 
     def steps(self) -> int:
@@ -321,7 +319,7 @@
         self.paused = False
         if self.connected and not self.disconnecting:
             self.accept()
-            if not self.front.held_up:
+            if not self.front.held_up and self.pause is None:
                 self.startReading()
         return False
 
@@ -333,24 +331,19 @@
         while self.front.crowded() and not self.front.loop.late(PIECE):
             try:
                 client, address = self.socket.accept()
-            except OSError:
+            except BlockingIOError:
                 return
+            except OSError as fault:
+                if not self.goes_on_after(fault):
+                    return
+                continue
             if self.front.takes(address[0]):
                 self.take(client, address)
             else:
                 client.setsockopt(SOL_SOCKET, SO_LINGER, AT_ONCE)
                 client.close()
 
-    def take(self, client: Any, address: Any) -> None:
-        """One that was accepted already, made as the library makes them."""
-        client.setblocking(False)
-        protocol = self.front.buildProtocol(self._buildAddr(address))
-        number = self.sessionno = self.sessionno + 1
-        made: Any = self.transport(client, protocol, address, self, number, self.reactor)  # type: ignore[arg-type]
-        protocol.makeConnection(made)
-
     def accept(self) -> None:
         self.turn_away()
-        most, before = self.steps(), self.sessionno
-        super().doRead()
-        self.accepted(self.sessionno - before >= most)
+        most = self.steps()
+        self.accepted(self.accept_some(most) >= most)
--- a/ternquay/hosted/tenants/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -189,7 +189,7 @@
     prepared = Prepared()
     for i, place in enumerate(places):
         host = own if own and place.host == "0.0.0.0" else place.host
-        port = Held(place.port, Factory(), backlog, host, reactor)  # type: ignore[arg-type]
+        port = Held(place.port, Factory(), backlog, host, reactor)
         try:
             port.startListening()
         except CannotListenError as fault:
@@ -271,10 +271,7 @@
 
     def _gate(self, accept: bool) -> None:
         for port in self.ports.values():
-            if accept:
-                port.startReading()
-            else:
-                port.stopReading()
+            port.gate(accept)
 
     def _stand(self, state: State) -> None:
         self.front.shut = 0 if state is State.ACTIVE else self.limits.come_again
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -2,7 +2,7 @@
 
 from contextlib import suppress
 from select import POLLERR, POLLHUP, POLLRDHUP, poll
-from socket import MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, socket
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, TCP_NODELAY, socket
 from typing import Any
 
 from twisted.protocols.basic import LineReceiver
@@ -15,7 +15,9 @@
     unreading = False  # nothing is read for now; `paused` is the library's, which then keeps what comes to itself
 
     def connectionMade(self) -> None:
-        self.transport.setTcpNoDelay(True)
+        # An option that can't be set makes small writes later, and nothing wrong. The library would log a traceback.
+        with suppress(OSError):
+            self.transport.getHandle().setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
     def _unread(self) -> bytes | None:
         """The first byte that has come and was not read, b"" for the other side's end, None for nothing."""
--- /dev/null
+++ b/ternquay/net/listener.py
@@ -0,0 +1,117 @@
+"""A listening socket: accepts as many connections in a turn as fit, and goes on after any failure of accept().
+
+The library accepts many at once, unseen by the limit on sockets, closes clients unread where descriptors are short, and
+has no answer to most of the errors that accept(2) names. Here an error that belongs to one connection costs that
+connection alone; where the system has no room, accepting pauses for a moment, so that the loop does not spin on a
+socket that stays readable.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from errno import (
+    ECONNABORTED,
+    EHOSTDOWN,
+    EHOSTUNREACH,
+    EINTR,
+    ENETDOWN,
+    ENETUNREACH,
+    ENONET,
+    ENOPROTOOPT,
+    EOPNOTSUPP,
+    EPERM,
+    EPROTO,
+    ETIMEDOUT,
+    errorcode,
+)
+from socket import NI_NUMERICHOST, NI_NUMERICSERV, getnameinfo
+from typing import Any
+
+from loguru import logger
+from twisted.internet.tcp import Port
+
+# Errors of the connection that was to be accepted, which accept(2) passes on, or of one that a firewall forbids.
+OF_ONE_CONNECTION = frozenset({ECONNABORTED, EHOSTDOWN, EHOSTUNREACH, EINTR, ENETDOWN, ENETUNREACH, ENONET,
+                               ENOPROTOOPT, EOPNOTSUPP, EPERM, EPROTO, ETIMEDOUT})
+PAUSE = 0.05  # seconds without accepting after any other error
+
+
+class Listener(Port):
+    """`room` tells how many connections may be accepted now; `accepted` is told whether that many were."""
+
+    room: Callable[[], int] = staticmethod(lambda: 1)
+    accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
+    failed: Callable[[], None] = staticmethod(lambda: None)  # told of a failure for want of room
+
+    def __init__(self, *terms: Any, **more: Any) -> None:
+        super().__init__(*terms, **more)
+        self.failures: Counter[str] = Counter()  # of accept(), by the name of the error
+        self.opened = True  # as whoever owns it has said
+        self.pause: Any = None  # the timer of a pause
+
+    def gate(self, accept: bool) -> None:
+        """Accepts connections from now on, or none."""
+        self.opened = accept
+        if accept and self.pause is None:
+            self.startReading()
+        else:
+            self.stopReading()
+
+    def doRead(self) -> None:
+        self.accept()
+
+    def accept(self) -> None:
+        """Accepts what waits, as far as there is room."""
+        most = self.room()
+        self.accepted(self.accept_some(most) >= most)
+
+    def accept_some(self, most: int) -> int:
+        """Accepts up to so many connections; how many came."""
+        came = 0
+        for _ in range(most):
+            try:
+                connection, address = self.socket.accept()
+            except BlockingIOError:
+                break
+            except OSError as fault:
+                if not self.goes_on_after(fault):
+                    break
+            else:
+                came += 1
+                self.take(connection, address)
+        return came
+
+    def goes_on_after(self, fault: OSError) -> bool:
+        """Counts a failure, and warns of the first of its kind; whether the next connection may be tried at once."""
+        name = errorcode.get(fault.errno or 0, "unknown")
+        self.failures[name] += 1
+        if self.failures[name] == 1:
+            logger.warning("accept failed: {}, further ones are counted and not told", name)
+        if fault.errno in OF_ONE_CONNECTION:
+            return True
+        self.failed()
+        if self.pause is None:
+            self.stopReading()
+            self.pause = self.reactor.callLater(PAUSE, self.resume)
+        return False
+
+    def resume(self) -> None:
+        """The pause after a failure is over."""
+        self.pause = None
+        if self.opened and self.connected and not self.disconnecting:
+            self.startReading()
+
+    def take(self, connection: Any, address: Any) -> None:
+        """Hands on a connection that was accepted, made as the library makes it."""
+        if len(address) == 4:
+            host, _ = getnameinfo(address, NI_NUMERICHOST | NI_NUMERICSERV)
+            address = (host, *address[1:])
+        connection.setblocking(False)
+        factory: Any = self.factory
+        protocol = factory.buildProtocol(self._buildAddr(address))
+        if protocol is None:
+            connection.close()
+            return
+        number = self.sessionno
+        self.sessionno = number + 1
+        made: Any = self.transport(connection, protocol, address, self, number, self.reactor)
+        protocol.makeConnection(made)
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -14,7 +14,6 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import CannotListenError
 from twisted.internet.main import installReactor
-from twisted.internet.tcp import Port
 from twisted.logger import ILogObserver, globalLogPublisher
 from zope.interface import implementer
 
@@ -27,6 +26,7 @@
 from ternquay.net.inherited import adopt, inherited
 from ternquay.net.launch import Launch, LaunchError, read_launch
 from ternquay.net.limits import SECOND
+from ternquay.net.listener import Listener
 from ternquay.net.listing import Address
 from ternquay.net.management import ManagementPort
 from ternquay.net.pool import Pool
@@ -45,28 +45,12 @@
         """Has the begin of each turn told; the library has no place for it but its poller."""
         self._poller = MarkedPoll(self._poller, time.monotonic_ns, turn.begins)
 
-    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> "Listener":
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Listener:
         listener = Listener(port, factory, backlog, interface, self)
         listener.startListening()
         return listener
 
 
-class Listener(Port):
-    """Accepts as many clients a turn as fit: the library's many at once would pass the limit on sockets unseen."""
-
-    room: Callable[[], int] = staticmethod(lambda: 1)
-    accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
-    numberAccepts = property(lambda self: self.room(), lambda self, count: None)
-
-    def doRead(self) -> None:
-        self.accept()
-
-    def accept(self) -> None:
-        most, before = self.room(), self.sessionno
-        super().doRead()
-        self.accepted(self.sessionno - before >= most)
-
-
 @implementer(ILogObserver)
 def pass_on(event: dict[str, Any]) -> None:
     """Twisted tells of an exception that nobody caught in its own log alone."""
@@ -138,8 +122,8 @@
             port.stopListening()
             return
         self.port = port
-        port.room, port.accepted = self.front.room, self.turn.accepted
-        self.front.gate = lambda accept: port.startReading() if accept and not self.shut else port.stopReading()
+        port.room, port.accepted, port.failed = self.front.room, self.turn.accepted, self.front.shed
+        self.front.gate = lambda accept: port.gate(accept and not self.shut)
         logger.info("{} serves on {}", self.launch.name, self.launch.listen)
 
     def _beside(self, then: Callable[[], None]) -> None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -160,7 +160,7 @@
         self.unread: bytes | None = None  # b"": the other side's end
         protocol.makeConnection(self)
 
-    def setTcpNoDelay(self, on: bool) -> None:
+    def setsockopt(self, level: int, name: int, value: int) -> None:
         pass
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
--- a/tests/test_hosted_endings.py
+++ b/tests/test_hosted_endings.py
@@ -169,10 +169,7 @@
             self.sessionno += 1
             self.net.client()
 
-    def startReading(self) -> None:
-        pass
-
-    def stopReading(self) -> None:
+    def gate(self, accept: bool) -> None:
         pass
 
     def stopListening(self) -> None:
--- /dev/null
+++ b/tests/test_system_calls.py
@@ -0,0 +1,121 @@
+"""System calls that fail, in the program as it is started: rig/system_calls.py makes them."""
+
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+import pytest
+
+from ternquay.rig.system_calls import CallFault, CallPlan, prepared, read_plan, struck
+from ternquay.rig.terms import DayError
+from tests.helper import member
+from tests.test_flow import Store
+from tests.test_net import mg
+from tests.test_review_links import free, told, until
+
+LASTS = 1.0  # seconds in which calls fail, from the first attempt on
+# For one that fails all the time: with a pause after each some 20 a second, without one many thousands.
+OFTEN = 200
+FOR_WANT_OF_ROOM = ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM")
+OF_ONE_CONNECTION = ("ECONNABORTED", "EPROTO", "EHOSTUNREACH", "ENETDOWN", "ENETUNREACH", "ETIMEDOUT", "EPERM",
+                     "EHOSTDOWN", "ENONET", "ENOPROTOOPT", "ENOTSUP", "EINTR")
+
+
+@dataclass
+class Running:
+    """The program under a plan of failing calls."""
+
+    process: "subprocess.Popen[bytes]"
+    port: int
+    folder: Path
+
+    def log(self) -> str:
+        return (self.folder / "log").read_text()
+
+    def cpu(self) -> float:
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+@contextmanager
+def running(folder: Path, *faults: CallFault) -> Iterator[Running]:
+    """Started as deploy/balancer.toml does it, with one cache host."""
+    store, listen, path = Store(3), free(), folder / "told.json"
+    known = {"revision": 1, "complete": True, "members": [member(1) | {"host_port": f"127.0.0.1:{store.port}"}]}
+    path.write_bytes(orjson.dumps(told(listen, free(), known=known)))
+    environment = prepared(CallPlan(faults), folder) | {"EDGE_CONFIG": str(path)}
+    with open(folder / "log", "wb") as log:
+        process = subprocess.Popen([sys.executable, "-m", "ternquay.net"], stderr=log, env=environment,
+                                   cwd=Path(__file__).parents[1])
+    try:
+        until(lambda: b"serves on" in (folder / "log").read_bytes() or process.poll() is not None)
+        yield Running(process, listen, folder)
+    finally:
+        process.kill()
+        process.wait()
+
+
+def asked(port: int, number: int = 1) -> bytes:
+    """One read on a connection of its own; b"" if that ends without an answer."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as client:
+        try:
+            client.sendall(mg(number, key="k9"))
+            return client.recv(200)
+        except ConnectionResetError:
+            return b""
+
+
+@pytest.mark.parametrize("error", FOR_WANT_OF_ROOM)
+def test_a_listener_pauses_while_there_is_no_room_and_then_serves_who_waited(tmp_path: Path, error: str) -> None:
+    with running(tmp_path, CallFault("accept", error, end=LASTS + 1.5)) as one:
+        time.sleep(1.5)
+        before = one.cpu()
+        assert asked(one.port).startswith((b"VA 9 O1", b"SERVER_ERROR busy"))  # it waited, and was not closed unread
+        assert 0 < struck(tmp_path)[f"accept {error}"] < OFTEN and one.cpu() - before < 0.5
+        assert one.log().count(f"accept failed: {error}") == 1 and "Traceback" not in one.log()
+        assert one.process.poll() is None
+
+
+@pytest.mark.parametrize("error", OF_ONE_CONNECTION)
+def test_an_error_of_one_connection_costs_no_other(tmp_path: Path, error: str) -> None:
+    with running(tmp_path, CallFault("accept", error, rate=0.5)) as one:
+        answers = [asked(one.port, number) for number in range(12)]
+        assert all(text.startswith((b"VA 9", b"SERVER_ERROR busy")) for text in answers), answers
+        assert struck(tmp_path)[f"accept {error}"] > 0
+        assert one.log().count(f"accept failed: {error}") == 1 and "Traceback" not in one.log()
+        assert one.process.poll() is None
+
+
+@pytest.mark.parametrize(("call", "error"), [
+    ("setsockopt", "ENOBUFS"), ("connect_ex", "ENETUNREACH"), ("connect_ex", "ENOBUFS"),
+    ("connect_ex", "ETIMEDOUT"), ("recv", "ETIMEDOUT"), ("recv", "EHOSTUNREACH"), ("send", "ENOBUFS"),
+    ("send", "EHOSTUNREACH")])
+def test_calls_on_a_connection_that_fail_for_a_while_end_nothing_else(tmp_path: Path, call: str, error: str) -> None:
+    with running(tmp_path, CallFault(call, error, end=2.0, rate=0.3)) as one:  # type: ignore[arg-type]
+        over = time.monotonic() + 2.0
+        for number in range(40):
+            asked(one.port, number)
+        assert struck(tmp_path)[f"{call} {error}"] > 0
+        time.sleep(max(0.0, over - time.monotonic()))  # no call fails any more
+        assert asked(one.port, 100).startswith((b"VA 9 O100", b"SERVER_ERROR busy"))
+        assert "Traceback" not in one.log() and one.process.poll() is None, one.log()
+
+
+@pytest.mark.parametrize(("text", "named"), [
+    ("[[faults]]\ncall='fork'\nerror='EIO'", "faults[0].call"),
+    ("[[faults]]\ncall='send'\nerror='EX'", "faults[0].error"),
+    ("[[faults]]\ncall='send'\nerror='EIO'\nrate=2", "faults[0].rate"), ("faults=3", "faults"),
+    ("[[faults]]\ncall='send'\nerror='EIO'\nstart=3\nend=2", "faults[0].end"), ("x=", "plan.toml")])
+def test_a_plan_that_can_not_be_used_is_named(tmp_path: Path, text: str, named: str) -> None:
+    path = tmp_path / "plan.toml"
+    path.write_text(text + "\n")
+    with pytest.raises(DayError) as found:
+        read_plan(path)
+    assert named in str(found.value) and "\n" not in str(found.value)[:200]
