A stepped wall clock makes no young cache host look old

Cause: the difference between the wall clock and the monotonic one was read once, at the start. After the clock of all machines was set back by an hour, a host that started then looked an hour old, so slow start did not hold for it. Change: net/start_times.py, without I/O, reads the difference with each list, counts all that were seen, and takes the latest start that is not to come; what was taken for a told time stays. Hosted services too.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -44,7 +44,7 @@
         self.memory = service.process.memory_mb << 20
         self.own = service.fellows.address if service.fellows is not None else ""
         self.common = Common(reactor, service.process, self.loop, Ledger(), self.lent,
-                             time.time_ns() - int(reactor.seconds() * SECOND), self._retell)
+                             lambda: time.time_ns() - int(reactor.seconds() * SECOND), self._retell)
         self.tenancies: dict[str, Tenancy] = {}
         self.by_id: dict[str, Tenancy] = {}
         self.removing: set[str] = set()
--- a/ternquay/hosted/tenants/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -23,6 +23,7 @@
 from ternquay.net.listing import Address, Member
 from ternquay.net.pool import HostConnection, Pool
 from ternquay.net.safety import CloseReason, ServerCloseReason
+from ternquay.net.start_times import StartTimes
 from ternquay.net.turn import Turn
 
 MOST_HOPS, BACKOFF_MOST, SPARE = 4, SECOND, 8
@@ -49,7 +50,7 @@
     loop: Loop
     ledger: Ledger
     sockets: Lent
-    offset: int  # wall clock less ours
+    difference: Callable[[], int]  # the wall clock less ours
     retell: Callable[[set[str]], None] = lambda names: None
     wait: Callable[[str], int] | None = None  # of a member of a fleet: how long a tenant's new txs are told to wait
 
@@ -221,6 +222,7 @@
         self.front.fenced = partial(common.wait, tenant.name) if common.wait is not None else None
         self.ports: dict[Place, Any] = {}
         self.members: dict[str, Member] = {}
+        self.start_times = StartTimes(common.difference)
         self.discovery: Discovery | None = None
         self.ending_since = 0
 
@@ -320,18 +322,19 @@
             (old.end if tenant.source is None else old.retire)()
         if tenant.source is not None and self.discovery is None:
             where = Address(tenant.source.host, tenant.source.port)
-            self.discovery = Discovery(self.common.reactor, self.door, self.limits, where, self.common.offset, old)
+            self.discovery = Discovery(self.common.reactor, self.door, self.limits, where, self.start_times, old)
             self.door.watch = self.discovery.watch
             self.discovery.watch()
         elif tenant.source is None:
-            self._told(True, tuple(self._member(server) for server in tenant.servers))
+            members = tuple(self._member(server) for server in tenant.servers)
+            self._told(True, self.start_times.dated(True, members, self.door.now()))
 
     def _member(self, server: Server) -> Member:
         # The place stands for the host: it is the same by whatever name it goes.
         where = Address(server.place.host, server.place.port)
-        since = max(1, server.started - self.common.offset) if server.started else 0
         standing = m.Standing.DRAINING if server.draining else m.Standing.READY
-        return Member(str(where), where, server.zone, "", self.cells.get(str(where)), standing, server.weight, since)
+        cell = self.cells.get(str(where))
+        return Member(str(where), where, server.zone, "", cell, standing, server.weight, server.started)
 
     def _told(self, whole: bool, members: tuple[Member, ...]) -> None:
         """From the registry or the source: the ledger has a say in it before the decisions hear of it."""
--- a/ternquay/net/discovery.py
+++ b/ternquay/net/discovery.py
@@ -22,6 +22,7 @@
 from ternquay.net.follow import Failure as Kind
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.listing import Address, ToldWrong, read_list
+from ternquay.net.start_times import StartTimes
 
 
 class CallFailed(Exception):
@@ -94,9 +95,9 @@
 class Discovery:
     """Follows the list at one address until end(); for another address there is another of these."""
 
-    def __init__(self, reactor: Any, door: Door, limits: Limits, where: Address, since_offset: int,
+    def __init__(self, reactor: Any, door: Door, limits: Limits, where: Address, start_times: StartTimes,
                  instead: "Discovery | None" = None) -> None:
-        self.reactor, self.door, self.limits, self.since_offset = reactor, door, limits, since_offset
+        self.reactor, self.door, self.limits, self.start_times = reactor, door, limits, start_times
         self.where = where
         self.url = f"http://{where}/api/targets"
         self.idle = pool = HTTPConnectionPool(reactor)
@@ -141,11 +142,11 @@
 
     def take(self, told: Any) -> None:
         """Takes a list in discovery's form and goes on from its revision; what raises is not taken."""
-        revision, whole, members = read_list(told, self.since_offset)
+        revision, whole, members = read_list(told, 0)
         if revision < self.revision:
             raise ToldWrong(f"revision: {revision} is older than {self.revision}, which is known")
         self.revision = revision  # before the decisions hear of it, as they may ask for the next at once
-        self.door.list_told(whole, members)
+        self.door.list_told(whole, self.start_times.dated(whole, members, self.door.now()))
 
     def _call(self) -> None:
         if self.ended or self.last:
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -31,6 +31,7 @@
 from ternquay.net.management import ManagementPort
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
+from ternquay.net.start_times import StartTimes
 from ternquay.net.turn import MarkedPoll, Turn
 
 FIRST_LOOK = 0.001  # seconds: the loop has run once
@@ -64,7 +65,7 @@
 
     def __init__(self, reactor: Any, launch: Launch, decisions: type[Balancer] = Balancer) -> None:
         self.reactor, self.launch, self.limits = reactor, launch, launch.limits
-        self.offset = time.time_ns() - int(reactor.seconds() * SECOND)
+        self.start_times = StartTimes(lambda: time.time_ns() - int(reactor.seconds() * SECOND))
         self.sockets = sockets = Sockets(self.limits)
         self.replacement: Any = None
         self.shut = False  # another process takes the clients
@@ -81,7 +82,7 @@
         self.leaves: list[Any] = []  # the steps of a drain that are still to come
 
     def _discovery(self, where: Address, instead: Discovery | None = None) -> Discovery:
-        discovery = Discovery(self.reactor, self.door, self.limits, where, self.offset, instead)
+        discovery = Discovery(self.reactor, self.door, self.limits, where, self.start_times, instead)
         self.door.watch = discovery.watch
         return discovery
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,6 +23,7 @@
 from ternquay.net.launch import read_launch
 from ternquay.net.listing import Address
 from ternquay.net.serve import Service
+from ternquay.net.start_times import StartTimes
 from tests.helper import FACTS, Listening, Net, member
 from tests.hosted_helper import ROOT
 from tests.test_flow import Store
@@ -159,7 +160,7 @@
     net = Net()
     agent = Agent(net)
     monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
-    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
+    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), StartTimes(lambda: 0))
     watch.revision, net.door.watch = 0, watch.watch
     watch.watch()
     return net, agent, watch
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from ternquay.net.launch import LaunchError, read_launch
 from ternquay.net.listing import Address, ToldWrong
 from ternquay.net.serve import Service
+from ternquay.net.start_times import StartTimes
 from ternquay.net.turn import Turn
 from tests.helper import FACTS, Net, Wire, member
 
@@ -348,7 +349,7 @@
 
 def test_an_unreadable_list_changes_nothing() -> None:
     net = Net()
-    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
+    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), StartTimes(lambda: 0))
     odd: tuple[Any, ...] = (
         None, [], {}, {"revision": 1, "complete": True, "members": [member(1), member(2, "odd")]},
         {"revision": "x", "complete": True, "members": []},
@@ -394,7 +395,7 @@
     agent = Agent(net)
     calls = agent.calls
     monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
-    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
+    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), StartTimes(lambda: 0))
     watch.revision, net.door.watch = 0, watch.watch
     watch.watch()
     good = {"revision": 5, "complete": False, "members": [member(2)]}
--- a/tests/test_review_input.py
+++ b/tests/test_review_input.py
@@ -18,6 +18,7 @@
 from ternquay.net.launch import LaunchError, read_launch
 from ternquay.net.listing import Address, ToldWrong, read_list
 from ternquay.net.serve import Service
+from ternquay.net.start_times import StartTimes
 from tests.helper import FACTS, Net, Play, line, member
 from tests.test_net import TOLD, Agent, Response, mg, va
 
@@ -159,7 +160,7 @@
 def followed(net: Net, monkeypatch: pytest.MonkeyPatch) -> tuple[Discovery, Agent]:
     agent = Agent(net)
     monkeypatch.setattr("ternquay.net.discovery.Agent", agent)
-    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), 0)
+    watch = Discovery(net.reactor, net.door, net.limits, Address("127.0.0.1", 8500), StartTimes(lambda: 0))
     net.door.watch = watch.watch
     watch.watch()
     return watch, agent
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,91 @@
+"""The wall clock is stepped, and no young cache host looks old for it, nor do all seem to have started anew."""
+
+from dataclasses import replace
+
+import pytest
+
+from ternquay.net.limits import MS, SECOND
+from ternquay.net.listing import Member, read_list
+from ternquay.net.start_times import DIFFERENCES, StartTimes
+from tests.helper import Net, member
+
+HOUR = 3600 * SECOND
+WALL = 1_700_000_000 * SECOND
+
+
+class Clocks:
+    """A wall clock that can be stepped, and the monotonic one."""
+
+    def __init__(self) -> None:
+        self.now, self.wall = 1000 * SECOND, WALL
+        self.times = StartTimes(lambda: self.wall)
+
+    def dated(self, *starts: int, whole: bool = False, names: str = "abcdef") -> list[int]:
+        """How old, in seconds, hosts are taken for whose starts are told in Unix time."""
+        line = read_list({"revision": 1, "complete": True, "members": [member(1)]}, 0)[2][0]
+        members: tuple[Member, ...] = tuple(replace(line, id=name, since=start)
+                                            for name, start in zip(names, starts, strict=False))
+        return [round((self.now - one.since) / SECOND) if one.since else -1
+                for one in self.times.dated(whole, members, self.now)]
+
+    def told(self, age: float) -> int:
+        """A start so many seconds ago, as the stepped wall clock has it."""
+        return self.wall + self.now - int(age * SECOND)
+
+
+@pytest.mark.parametrize("step", [0, 2 * SECOND, -2 * SECOND, HOUR, -HOUR])
+def test_a_host_that_starts_after_a_step_is_as_young_as_it_is(step: int) -> None:
+    clocks = Clocks()
+    assert clocks.dated(clocks.told(500), 0) == [500, -1]
+    clocks.now += 60 * SECOND
+    clocks.wall += step
+    assert clocks.dated(clocks.told(1), names="x")[0] <= 1
+    clocks.now += 3 * SECOND
+    assert clocks.dated(clocks.told(4), names="x")[0] <= 4
+
+
+@pytest.mark.parametrize(("ours", "theirs"), [(HOUR, 0), (-HOUR, 0), (0, HOUR)])
+def test_a_step_of_one_clock_alone_makes_no_host_look_older_than_it_is(ours: int, theirs: int) -> None:
+    """But for one where the list is made, back: nothing here tells its starts from true ones."""
+    clocks = Clocks()
+    clocks.dated(0)
+    told = clocks.told(2) + theirs
+    clocks.wall += ours
+    assert clocks.dated(told)[0] <= 2
+
+
+def test_a_step_is_no_restart_of_the_hosts_that_are_known() -> None:
+    clocks = Clocks()
+    starts = [clocks.told(100), clocks.told(5)]
+    before = clocks.dated(*starts)
+    clocks.wall += HOUR
+    clocks.now += 7 * SECOND
+    assert clocks.dated(*starts, whole=True) == [age + 7 for age in before]
+
+
+def test_what_is_gone_is_forgotten_and_differences_have_a_bound() -> None:
+    clocks = Clocks()
+    clocks.dated(clocks.told(9), clocks.told(9))
+    for _ in range(50):
+        clocks.wall += 2 * SECOND
+        clocks.dated(clocks.told(9), whole=True)
+    assert list(clocks.times.known) == ["a"] and len(clocks.times.seen) <= DIFFERENCES
+    assert clocks.times.seen[0] == WALL
+
+
+def test_a_start_before_the_machine_booted_is_long_ago() -> None:
+    clocks = Clocks()
+    clocks.now = 5 * SECOND
+    assert clocks.dated(clocks.told(4000)) == [4000]
+
+
+def test_a_young_host_stays_young_for_the_decisions_whatever_the_clock_does() -> None:
+    net, clocks = Net(hosts=1), Clocks()
+    clocks.now = net.door.now()
+    clocks.dated(0)
+    clocks.wall -= HOUR
+    told = {"revision": 2, "complete": False, "members": [member(2, since=clocks.told(1) // MS)]}
+    members = clocks.times.dated(False, read_list(told, 0)[2], net.door.now())
+    net.door.list_told(False, members)
+    host = net.door.balancer.hosts[net.door.hosts["h2"]]
+    assert 0 <= net.door.now() - host.since <= 2 * SECOND
