--- a/ternquay/net/start_times.py
+++ b/ternquay/net/start_times.py
@@ -1,9 +1,9 @@
 """When cache hosts last started, on the monotonic clock, whatever the wall clock does meanwhile.
 
-The list tells it in Unix time, and a host is treated with care while it is young. A wall clock that was stepped must not
-make a young host look old. So the difference between the two clocks is looked at with each list, every difference that
-has been seen counts, and of the starts that a told time may mean the latest is taken that is not to come. What a told
-time was taken for stays, so that a step is not a restart of all hosts.
+The list tells it in Unix time, and a host is treated with care while it is young. A wall clock that was stepped must
+not make a young host look old. So the difference between the two clocks is looked at with each list, every difference
+that has been seen counts, and of the starts that a told time may mean the latest is taken that is not to come. What a
+told time was taken for stays, so that a step is not a restart of all hosts.
 
 Not found out: a clock that was wrong before this process began and is never stepped, and one that is set back where the
 list is made and not here (docs/architecture.md).
