--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -170,7 +170,7 @@
 
     def arrives(self, command: meta.Command, owed: Owed, unread: int) -> None:
         if self.front.full(self):
-            self.front.safety.refuses(RefuseReason.SHARE, owed.id())
+            self.front.safety.refuses(RefuseReason.SHARE, owed.id)
             owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
         owed.counted = True
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -55,7 +55,7 @@
         return self.client.ended or self.client.gone()
 
     def put(self, text: bytes) -> None:
-        if not self.client.front.safety.answering(self.text is not None, self.id()):
+        if not self.client.front.safety.answering(self.text is not None, self.id):
             return
         self.text = text
         self.client.owes_less(self)
@@ -142,6 +142,8 @@
     def expect_more(self) -> None:
         """Begins or ends the time in which the request that is not whole has to be."""
         arrived, self.arrived = self.arrived, 0
+        if self.machine.quiet() and self.deadline.due() is None:
+            return  # as most of the time: all that came was whole
         self.deadline.read(self.moved, self.machine.position(), arrived)
         self.front.waits_for(self)
 
@@ -217,7 +219,7 @@
             self.front.door.tell("WARNING", "short of CPU: what comes late in a turn of the loop is rolled back")
         why = self.no_room(late)
         if why is not None:
-            self.front.safety.refuses(why, owed.id())
+            self.front.safety.refuses(why, owed.id)
             owed.roll_back(self.front.door.about(self.front.limits.come_again))
             return
         self.arrives(command, owed, turn.unread(now, self.first_since()))
--- a/ternquay/net/door.py
+++ b/ternquay/net/door.py
@@ -205,7 +205,7 @@
             tx = self.txs.get(a.tx)
             if tx is not None and not tx.answered:
                 self._answered(tx)
-                self.safety.refuses(RefuseReason.DECISIONS, tx.asker.id())
+                self.safety.refuses(RefuseReason.DECISIONS, tx.asker.id)
                 tx.asker.roll_back(a.backoff)
         elif isinstance(a, m.Abandon):
             self._abandon(a.tx)
@@ -227,7 +227,7 @@
                     whole=arrival.flow is None)
         self.next_tx += 1
         if len(self.txs) >= self.limits.open_txs or self.held > self.limits.held:
-            self.safety.refuses(RefuseReason.REQUESTS, asker.id())
+            self.safety.refuses(RefuseReason.REQUESTS, asker.id)
             asker.roll_back(self.about(self.limits.come_again))
             return tx.id
         tx.seen = tx.came - arrival.unread
@@ -323,7 +323,7 @@
         """
         attempt = Attempt(hop.tx.answered, hop.tx.whole, hop.not_past, hop.begin_by,
                           stale=not hop.waited and self.stood_still(self.now()))
-        return self.safety.may_begin(attempt, lambda: self._departed(hop.tx), hop.tx.asker.id()) is None
+        return self.safety.may_begin(attempt, lambda: self._departed(hop.tx), hop.tx.asker.id) is None
 
     def _departed(self, tx: OpenTx) -> bool:
         """Whether the client has gone, as far as the system knows."""
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -94,7 +94,7 @@
 
     def begin(self, hop: Outgoing) -> None:
         left = max(1, (hop.not_past - self.pool.door.now()) // MS)
-        self.pool.door.safety.begun(hop.tx.answered, hop.tx.asker.id(), hop.number)
+        self.pool.door.safety.begun(hop.tx.answered, hop.tx.asker.id, hop.number)
         self.writing = hop
         self.hops.append(hop)
         self.machine.expect(hop.tx.message)
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 EVENTS_KEPT = 256
 
@@ -77,8 +77,7 @@
 ROUTINE = frozenset({CloseReason.IDLE, CloseReason.LEAVING})
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(NamedTuple):
     """What decides whether an attempt may begin. Times are whole nanoseconds, 0 for no bound."""
 
     answered: bool  # the request has its final answer
@@ -126,7 +125,10 @@
 
 
 class Safety:
-    """Asks the rules, counts what comes of it, and reports what is done against them."""
+    """Asks the rules, counts what comes of it, and reports what is done against them.
+
+    Requests are named by a function that tells their id, as most of the time nobody wants to know it.
+    """
 
     def __init__(self, now: Callable[[], int], tell: Callable[..., None]) -> None:
         self.now, self.tell = now, tell
@@ -138,21 +140,21 @@
         self.retries = 0
         self.events: deque[Event] = deque(maxlen=EVENTS_KEPT)
 
-    def may_begin(self, attempt: Attempt, departed: Callable[[], bool], request: str) -> Refusal | None:
+    def may_begin(self, attempt: Attempt, departed: Callable[[], bool], request: Callable[[], str]) -> Refusal | None:
         """Why the attempt may not begin now, or None: then its first byte has to leave in this very step."""
         refusal = attempt_refusal(attempt, self.now(), departed)
         if refusal is not None:
             self.refusals[refusal] += 1
-            self._keep("attempt not begun", refusal, request)
+            self._keep("attempt not begun", refusal, request())
         return refusal
 
-    def begun(self, answered: bool, request: str, number: int) -> None:
+    def begun(self, answered: bool, request: Callable[[], str], number: int) -> None:
         """An attempt's first byte leaves."""
         if number:
             self.retries += 1
-            self._keep(f"attempt {number + 1}", "begun", request)
+            self._keep(f"attempt {number + 1}", "begun", request())
         if answered:
-            self._violated(Violation.BEGUN_FORBIDDEN, request)
+            self._violated(Violation.BEGUN_FORBIDDEN, request())
 
     def closing(self, reason: CloseReason, owed: Sequence[str]) -> None:
         """A client's connection is ended on the requests of these ids."""
@@ -169,16 +171,16 @@
         if reason in (ServerCloseReason.BAD_ANSWER, ServerCloseReason.VALUE_STOPPED):
             self._keep("server connection closed", reason, "")
 
-    def refuses(self, reason: RefuseReason, request: str) -> None:
+    def refuses(self, reason: RefuseReason, request: Callable[[], str]) -> None:
         """A request is refused: a retry of it is harmless."""
         self.refused[reason] += 1
         if reason is not RefuseReason.DECISIONS:  # those are many, and would leave no room for the rest
-            self._keep("request refused", reason, request)
+            self._keep("request refused", reason, request())
 
-    def answering(self, before: bool, request: str) -> bool:
+    def answering(self, before: bool, request: Callable[[], str]) -> bool:
         """Whether an answer may be given: not if one was before."""
         if before:
-            self._violated(Violation.ANSWERED_TWICE, request)
+            self._violated(Violation.ANSWERED_TWICE, request())
         return not before
 
     def metrics(self) -> str:
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -295,7 +295,7 @@
     client.protocol.close(CloseReason.IDLE)
     owed.put(b"SERVER_ERROR busy\r\n")
     owed.put(b"SERVER_ERROR failed\r\n")
-    net.door.safety.begun(True, "1", 1)
+    net.door.safety.begun(True, lambda: "1", 1)
     safety = net.door.safety
     assert safety.violations == {Violation.CLOSED_OWING: 1, Violation.ANSWERED_TWICE: 1, Violation.BEGUN_FORBIDDEN: 1}
     assert 'ternquay_violations_total{reason="closed_owing"} 1' in safety.metrics()
