--- a/tests/test_hosted_endings.py
+++ b/tests/test_hosted_endings.py
@@ -270,3 +270,24 @@
         assert one.process.wait(10) == 0
     finally:
         one.kill()
+
+
+def test_who_waits_long_for_a_turn_to_be_read_is_not_closed_as_one_that_stands_still() -> None:
+    """Its command is whole, and it is we who do not read it; half a command of another is ended all the same."""
+    net = HostedNet()
+    net.turn_begins()
+    half = net.client()
+    half.feed(b"mg k v O")
+    net.reactor.advance(0.01)
+    waits = net.client()
+    waits.feed(mg(1))
+    assert waits.protocol.waits and not begun(net)
+    net.tenancy.common.loop.due.cancel()  # its turn does not come for 6 s
+    for _ in range(6):
+        net.reactor.advance(1.0)
+        net.front.swept()
+        net.take()
+    assert half.lost and not waits.lost, net.trace
+    assert not waits.protocol.piece()
+    net.run(5)
+    assert not waits.lost and "client 1 < b'SERVER_ERROR busy" in net.trace[-1], net.trace  # late, and answered
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -3,7 +3,7 @@
 import socket
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from signal import SIGHUP
@@ -333,3 +333,20 @@
     assert stuck.lost and "client 0 < b'SERVER_ERROR busy" in "".join(net.trace), net.trace  # it never ran
     client.feed(b"0123456789" * 2 + b"\r\nmn\r\n")
     assert not client.lost and "MN" in net.trace[-1], net.trace
+
+
+@pytest.mark.parametrize("owner", ["front", "pool"])
+def test_a_fault_in_one_sweep_does_not_end_the_sweeps(owner: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    part = getattr(net, owner)
+    looks = []
+
+    def broken() -> None:
+        looks.append(net.door.now())
+        raise ValueError("broken on purpose")
+
+    monkeypatch.setattr(part, "swept", broken)
+    for _ in range(4):
+        with suppress(ValueError):
+            net.reactor.advance(net.limits.sweep / SECOND)
+    assert len(looks) >= 3
