--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -303,7 +303,7 @@
     front: TenantFront
     paused = False
 
-    def steps(self) -> int:
+    def room(self) -> int:
         return min(STEP, self.front.room())
 
     def doRead(self) -> None:
@@ -345,5 +345,4 @@
 
     def accept(self) -> None:
         self.turn_away()
-        most = self.steps()
-        self.accepted(self.accept_some(most) >= most)
+        super().accept()
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -14,7 +14,7 @@
 from ternquay.net.flow import Flow
 from ternquay.net.limits import MS
 from ternquay.net.request_deadline import RequestDeadline
-from ternquay.net.safety import CloseReason, RefuseReason
+from ternquay.net.safety import CloseReason, RefuseReason, may_close
 
 if TYPE_CHECKING:
     from ternquay.net.front import Front
@@ -153,7 +153,7 @@
         if due is None or now < due or self.ended or self.closing or self.held_by_us():
             return False
         # After a stop of the process, or a long turn, this comes before the reading of what came meanwhile.
-        return not self.lies_unread()
+        return may_close(CloseReason.REQUEST_OVERDUE, owing=False, unread=self.lies_unread())
 
     def held_by_us(self) -> bool:
         """Whether it is not read for now, so that its request can't become whole."""
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -9,7 +9,7 @@
 from ternquay.net.client import ClientConnection
 from ternquay.net.door import Call, Door
 from ternquay.net.limits import MS, SECOND, Limits
-from ternquay.net.safety import CloseReason
+from ternquay.net.safety import CloseReason, may_close
 from ternquay.net.sockets import Sockets
 from ternquay.net.turn import Turn
 
@@ -85,8 +85,9 @@
         now = self.door.now()
         try:
             for client in [one for one in self.unfinished if one.overdue(now)]:
-                del self.unfinished[client]
-                client.end_request()
+                # The end of one may set off that of another, which was to be ended here too.
+                if self.unfinished.pop(client, self) is None:
+                    client.end_request()
         finally:
             dues = [due for one in self.unfinished if (due := one.deadline.due()) is not None]
             if dues:
@@ -134,7 +135,7 @@
         for client in self.unproven:
             if client.made > before or len(old) >= most:
                 break
-            if not client.lies_unread():  # else the rest of its first command may lie there
+            if may_close(CloseReason.NO_REQUEST, owing=False, unread=client.lies_unread()):
                 old.append(client)
         for client in old:
             self.drop(client, CloseReason.NO_REQUEST)
@@ -167,7 +168,7 @@
         """Closes clients that take up room and do not go on."""
         # After a stop of the process, or a long turn, this comes before the reading of what came meanwhile.
         for client in [c for c in self.all if c.stalled() and not c.lies_unread()]:
-            client.abort(CloseReason.ANSWERS_UNREAD)
+            client.abort(CloseReason.ANSWERS_UNREAD if client.queued or client.ended else CloseReason.VALUE_BROKEN)
         if self.held_up:
             self.shed()
         if 2 * self.sockets.clients > self.limits.clients:
@@ -189,5 +190,5 @@
         """Closes what owes nothing and does not move: half a command, for one."""
         before = self.door.now() - self.limits.fresh
         for client in [c for c in self.all if not c.owed and not c.queued and c.moved <= before]:
-            if not client.lies_unread():
+            if may_close(CloseReason.LEAVING, owing=False, unread=client.lies_unread()):
                 client.abort(CloseReason.LEAVING)
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from signal import SIGHUP
 from threading import Timer
+from typing import Any
 
 import pytest
 
@@ -350,3 +351,20 @@
         with suppress(ValueError):
             net.reactor.advance(net.limits.sweep / SECOND)
     assert len(looks) >= 3
+
+
+def test_the_end_of_one_request_may_close_another_that_is_overdue_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    first, second = net.client(), net.client()
+    for one in (first, second):
+        one.feed(b"mg k v")
+    real = type(first.protocol).end_request
+
+    def ends_both(client: Any) -> None:
+        real(client)
+        net.front.drop(second.protocol, CloseReason.MEMORY)
+
+    monkeypatch.setattr(type(first.protocol), "end_request", ends_both)
+    net.run(2700)
+    assert first.lost and second.lost and not net.front.unfinished
+    assert net.door.safety.closes == {CloseReason.REQUEST_OVERDUE: 1, CloseReason.MEMORY: 1}
