--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -3,10 +3,10 @@
 import socket
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from signal import SIGHUP
+from signal import SIGCONT, SIGHUP, SIGSTOP
 from threading import Timer
 from typing import Any
 
@@ -130,6 +130,34 @@
     assert 0 < line.closed - began <= OWED and 0 < value.closed - began <= 2 * OWED, (line, value)
 
 
+def late_ends(clients: list[Stopping]) -> list[float]:
+    """How long after their last byte those were closed that were closed too late; under 0: never."""
+    return [round(one.closed - one.written, 2) for one in clients if not 0 < one.closed - one.written <= OWED]
+
+
+@pytest.mark.parametrize("filled", [0, 90])
+def test_on_loopback_whoever_stops_before_it_is_accepted_is_ended_in_time(tmp_path: Path, filled: int) -> None:
+    """More clients stop at once than there are places; in the second case others that say nothing have most of them."""
+    clients = [Stopping([b"mg k v O1 Pc=re"]) for _ in range(300 if not filled else 60)]
+    with balancer(tmp_path) as port, ExitStack() as silent:
+        for _ in range(filled):
+            silent.enter_context(socket.create_connection(("127.0.0.1", port)))
+        watched(port, clients, OWED + 9)
+    assert not late_ends(clients)
+
+
+def test_on_loopback_whoever_stops_while_the_process_stands_still_is_ended_in_time(tmp_path: Path) -> None:
+    """The bytes came while the process was stopped: it reads them later, and they are as old as they are."""
+    store, listen = Store(3), free()
+    known = {"revision": 1, "complete": True, "members": [member(1) | {"host_port": f"127.0.0.1:{store.port}"}]}
+    clients = [Stopping([written]) for written in STOPS.values()]
+    with serving(told(listen, free(), known=known), tmp_path) as process:
+        process.send_signal(SIGSTOP)
+        Timer(2.0, process.send_signal, [SIGCONT]).start()
+        watched(listen, clients, OWED + 4)
+    assert not late_ends(clients)
+
+
 def test_the_answers_that_are_owed_go_out_before_half_a_request_is_ended() -> None:
     """A request that was read whole has its answer, whatever its client does behind it."""
     longest = {"Profiles": [one | {"HardLimit": 9_000_000, "ServiceGoal": 8_000_000} for one in FACTS["Profiles"]]}
