A half request is as old as its last byte, however long that waited to be read

Cause: the deadline of a request that is not whole began when its bytes were read. In the queue of the listening socket, while all places are taken, and in a process that stood still they wait for seconds before that: of 400 clients that stop at once at 112 places 288 were closed later than the 3 s that they are owed, the last after 10.06 s; after a stop of 2 s all, after 4.50 s. Ends came in steps of the bound, which excluded a late look.

Change: where the loop knows that what it reads may have waited for over 100 ms, the system is asked how long ago data last came (TCP_INFO), and the smaller of both counts; the timer of overdue requests takes an earlier one. Time in which we keep the client from writing does not count. Off the ordinary path: whole requests ask nothing.

--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -75,6 +75,7 @@
         self.unread_since = 0  # since when the oldest that is not read may be here
         self.paused_at = 0
         self.waits_since = 0  # for its turn to be read
+        self.turn_wait = 0  # how long it has just waited for that
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         for one in self.owed:
@@ -122,10 +123,16 @@
             self.unreading, self.paused_at = True, self.front.door.now()
             self.transport.pauseProducing()
 
+    def lay_unread(self) -> int:
+        # That it waits for its turn is no doing of the client's.
+        return max(0, super().lay_unread() - self.turn_wait)
+
     def piece(self) -> bool:
+        self.turn_wait = 0
         if self.waits:
             self.waits = False
-            self.deadline.extend(self.front.door.now() - self.waits_since)
+            self.turn_wait = self.front.door.now() - self.waits_since
+            self.deadline.extend(self.turn_wait)
         if self.ended or self.closing:
             return False
         clock = self.front.loop.clock
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -20,6 +20,7 @@
     from ternquay.net.front import Front
 
 OVERDUE = b"CLIENT_ERROR request was not whole in time"
+UNREAD_NOTICED = 100 * MS  # bytes that waited no longer than this to be read count as read when they came
 
 
 class Owed:
@@ -85,6 +86,7 @@
         self.made = 0  # when it came
         self.turn = 0  # in which it was accepted
         self.since = 0  # since when its first bytes may have waited, until they are read
+        self.behind_since = 0  # since when bytes may lie unread that are being read now; 0: what comes is read at once
         self.deadline = RequestDeadline()
         self.arrived = 0  # bytes that the deadline has not been told of
         self.held_since = 0  # since when reading is held back
@@ -133,10 +135,10 @@
             else:
                 self.bad(item)
         self.reading = False
-        self.since = 0
         self.moved = self.front.door.now()
         self.keep()
         self.expect_more()
+        self.since = 0
         self.flush()
 
     def expect_more(self) -> None:
@@ -144,9 +146,22 @@
         arrived, self.arrived = self.arrived, 0
         if self.machine.quiet() and self.deadline.due() is None:
             return  # as most of the time: all that came was whole
-        self.deadline.read(self.moved, self.machine.position(), arrived)
+        self.deadline.read(self.moved - self.lay_unread(), self.machine.position(), arrived)
         self.front.waits_for(self)
 
+    def lay_unread(self) -> int:
+        """How long the last of what was read now had waited for that: before it was accepted, or in a process that was
+        busy or stopped. The loop knows the most that it can be; the system, asked where that is long, how long it was.
+        """
+        earliest = self.moved - self.front.turn.unread(self.moved, self.first_since())
+        if self.behind_since:
+            earliest = min(earliest, self.behind_since)
+        most = self.moved - earliest
+        waited = min(most, self.silence()) if most > UNREAD_NOTICED else 0
+        # Much that has waited is read in many turns of the loop, of which only the first came late.
+        self.behind_since = earliest if waited > UNREAD_NOTICED else 0
+        return waited
+
     def overdue(self, now: int) -> bool:
         """Whether a request has begun to arrive and is not whole in its time, through no doing of ours."""
         due = self.deadline.due()
@@ -181,6 +196,7 @@
             return
         self.moved = self.front.door.now()
         self.pause(back)
+        self.behind_since = 0  # what comes after this has waited for us
         if back:
             self.held_since = self.moved
         else:
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -2,11 +2,15 @@
 
 from contextlib import suppress
 from select import POLLERR, POLLHUP, POLLRDHUP, poll
-from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, TCP_NODELAY, socket
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, SHUT_RDWR, TCP_INFO, TCP_NODELAY, socket
+from struct import Struct
 from typing import Any
 
 from twisted.protocols.basic import LineReceiver
 
+LAST_DATA = Struct("=52xI")  # of the kernel's tcp_info: milliseconds since data last came (tcpi_last_data_recv)
+MILLISECOND = 1_000_000  # nanoseconds
+
 
 class Driver(LineReceiver):
     line_mode = 0  # raw from the first byte: the state machine has the one buffer
@@ -37,6 +41,14 @@
         """Whether bytes have come that the loop is about to read."""
         return not self.unreading and bool(self._unread())
 
+    def silence(self) -> int:
+        """For how many nanoseconds nothing has come, as the system knows; 0 where it does not tell."""
+        try:
+            told = self.transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, LAST_DATA.size)
+        except OSError:
+            return 0
+        return int(LAST_DATA.unpack(told)[0]) * MILLISECOND if len(told) == LAST_DATA.size else 0
+
     def gone(self) -> bool:
         """Whether the other side has closed, also behind bytes that were not read yet."""
         first = self._unread()
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -7,7 +7,7 @@
 
 from ternquay.net import meta
 from ternquay.net.client import ClientConnection
-from ternquay.net.door import Call, Door
+from ternquay.net.door import Call, Door, unschedule
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.safety import CloseReason, may_close
 from ternquay.net.sockets import Sockets
@@ -28,6 +28,7 @@
         self.unproven: dict[ClientConnection, None] = {}  # no whole command line has come yet; the oldest first
         self.unfinished: dict[ClientConnection, None] = {}  # a request has begun to arrive and is not whole
         self.expiry: Call | None = None  # the next look at those
+        self.expires_at = 0  # when that is
         self.safety = door.safety
         self.leaving = self.held_up = False
         self.spared = 0  # how long one that has said nothing yet is left while they leave
@@ -75,9 +76,15 @@
             self.unfinished.pop(client, None)
             return
         self.unfinished[client] = None
-        # A request that begins now is due after all others that are under way, so one timer serves all.
-        if self.expiry is None:
-            self.expiry = self.door.later(due, self._expire)
+        # Most requests that begin are due after all others that are under way; not one whose bytes waited to be read.
+        if self.expiry is None or due < self.expires_at:
+            self._look_for_overdue(due)
+
+    def _look_for_overdue(self, at: int) -> None:
+        """One timer serves all requests that are not whole."""
+        unschedule(self.expiry)
+        self.expires_at = at
+        self.expiry = self.door.later(at, self._expire)
 
     def _expire(self) -> None:
         """Ends the requests that are overdue, and looks again when the next one is."""
@@ -91,7 +98,7 @@
         finally:
             dues = [due for one in self.unfinished if (due := one.deadline.due()) is not None]
             if dues:
-                self.expiry = self.door.later(max(min(dues), now + LOOK_AGAIN), self._expire)
+                self._look_for_overdue(max(min(dues), now + LOOK_AGAIN))
 
     def owes(self) -> bool:
         """Whether a client is owed an answer, or bytes of one."""
--- a/ternquay/net/request_deadline.py
+++ b/ternquay/net/request_deadline.py
@@ -47,11 +47,11 @@
     last: int = 0  # when its latest byte came
     received: int = 0  # bytes of this part
 
-    def read(self, now: int, position: Position, size: int) -> None:
-        """So many bytes came, and brought the stream to that position."""
+    def read(self, came: int, position: Position, size: int) -> None:
+        """So many bytes were read, the last of which came then, and brought the stream to that position."""
         if position != self.position:
-            self.position, self.began, self.received = position, now, 0
-        self.last = now
+            self.position, self.began, self.received = position, came, 0
+        self.last = max(self.last, came)
         self.received += size
 
     def extend(self, span: int) -> None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -18,6 +18,7 @@
 from ternquay.balance import MS, SECOND, Balancer
 from ternquay.facts import Names, read_start
 from ternquay.net.door import Door
+from ternquay.net.driver import LAST_DATA
 from ternquay.net.front import Front
 from ternquay.net.limits import fill
 from ternquay.net.listing import read_list
@@ -158,11 +159,15 @@
         self.net, self.name, self.protocol, self.producer = net, name, protocol, None
         self.pending, self.closing, self.lost, self.paused = b"", False, False, False
         self.unread: bytes | None = None  # b"": the other side's end
+        self.silent_ms = 0  # since data last came, as the system knows
         protocol.makeConnection(self)
 
     def setsockopt(self, level: int, name: int, value: int) -> None:
         pass
 
+    def getsockopt(self, level: int, name: int, size: int) -> bytes:
+        return LAST_DATA.pack(self.silent_ms)
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         self.producer = producer
         producer.resumeProducing()
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -225,6 +225,40 @@
     assert deadline.due() == 5 * SECOND + VALUE_PAUSE
 
 
+@pytest.mark.parametrize(("waited_ms", "silent_ms", "counted_ms"), [
+    (3000, 2000, 2000),  # the system tells how long ago the last byte came
+    (3000, 0, 0),  # a slow client that goes on: what it wrote last was read as it came
+    (1000, 5000, 1000),  # never more than the loop can have left it unread
+    (80, 80, 0)])
+def test_bytes_that_waited_to_be_read_are_as_old_as_the_system_says(
+        waited_ms: int, silent_ms: int, counted_ms: int) -> None:
+    net = Net()
+    now = net.door.now()
+    net.turn.begins(now, now - waited_ms * MS, most=0)
+    client = net.client()
+    client.silent_ms = silent_ms
+    client.feed(b"mg k v O1")
+    net.run((LINE_MOST // MS) - counted_ms - 60)
+    assert not client.closing
+    net.run(120)
+    assert client.closing or client.lost
+
+
+def test_much_that_waited_is_as_old_in_each_of_the_turns_that_read_it() -> None:
+    net = Net()
+    now = net.door.now()
+    net.turn.begins(now, now - 2 * SECOND, most=0)
+    client = net.client()
+    client.silent_ms = 2000
+    client.feed(b"ms k 100000 O1 Pc=once,d=900\r\n" + b"x" * 20000)
+    for _ in range(3):
+        net.run(1)
+        net.turn.begins(net.door.now())
+        client.feed(b"x" * 20000)
+    net.run(VALUE_PAUSE // MS - 2000 + 60)
+    assert client.closing or client.lost
+
+
 @pytest.mark.parametrize(("written", "part", "lines"), [
     (b"", Part.NONE, 0), (b"mg", Part.LINE, 0), (mg(1), Part.NONE, 1), (mg(1) + b"m", Part.LINE, 1),
     (ms(1)[:-3], Part.VALUE, 1), (ms(1), Part.NONE, 1), (ms(1) + mg(2), Part.NONE, 2),
