Places taken by clients that stand still go to those that wait with a request

Cause: while all places are taken accepting stops, and only one idle client is closed each 250 ms, those that wrote nothing after 1 s, those that stopped in a request after 2.5 s. A client behind a crowd of 150 at 112 places waited 1.25 s and 2.51 s with a whole request of 0.8 s. The system had taken those requests, so they are owed an answer.

Change: net/eviction.py: while all places are taken and somebody waits, each 50 ms those that stand still lose theirs: idle ones, silent for 250 ms, stopped in a request for 500 ms; never one that is owed an answer or has bytes unread. Where accept() fails for want of room the pause begins at 2 ms and grows to 64 ms, in place of 50 ms each time: behind a call in five that failed clients waited 1.5 s. Errors that Twisted deals with itself (TCP_NODELAY) are one warning and no traceback on standard error (net/library_log.py).

Rig: crowds that stop, say nothing or read nothing, failing system calls and steps of the wall clock in the soak's mix, with proof that they struck. The judge no longer excuses all of a client's wait for a stop of the process in it.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -10,7 +10,6 @@
 
 from loguru import logger
 from twisted.internet.main import installReactor
-from twisted.logger import globalLogPublisher
 
 from ternquay.hosted import logs
 from ternquay.hosted.service import Service, ServiceError, read_service
@@ -21,10 +20,11 @@
 from ternquay.hosted.tenants.registry import Change, Make, NotThere, Registry, Remove, Replace, SetState, Stale
 from ternquay.hosted.tenants.tenancy import Common, Prepared, Tenancy, bound
 from ternquay.hosted.tenants.tenant import Guarantee, State, Tenant, Unfit
+from ternquay.net import library_log
 from ternquay.net.closing import once_paid
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.safety import CloseReason
-from ternquay.net.serve import MonotonicReactor, pass_on
+from ternquay.net.serve import MonotonicReactor
 from ternquay.net.turn import Turn
 
 SWEEP = 250 * MS
@@ -395,7 +395,7 @@
     """Serves until SIGTERM. Raises ServiceError if it can't begin."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
     logs.begin(service.log.json, service.log.level)
-    globalLogPublisher.addObserver(pass_on)
+    library_log.begin()
     reactor = MonotonicReactor()
     installReactor(reactor)
     running = Running(reactor, service)
--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -251,7 +251,7 @@
         for client in list(islice(clients, LOOKS * most)):
             if closed < most:
                 if client in self.resting:
-                    closed += self._close_resting(client)
+                    closed += self.close_resting(client)
                 elif client.untouched():
                     self.drop(client, CloseReason.NO_REQUEST)
                     closed += 1
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -174,9 +174,9 @@
         """Whether it is not read for now, so that its request can't become whole."""
         return self.unreading
 
-    def end_request(self) -> None:
+    def end_request(self, reason: CloseReason = CloseReason.REQUEST_OVERDUE) -> None:
         """Its request was not whole in time: an error in its place behind the answers that are owed, and the close."""
-        self.closes_for = CloseReason.REQUEST_OVERDUE
+        self.closes_for = reason
         self.bad(meta.Bad(OVERDUE, fatal=True))
         self.flush()
 
--- /dev/null
+++ b/ternquay/net/eviction.py
@@ -0,0 +1,43 @@
+"""Whose places are given up for clients that wait to be accepted while all places are taken.
+
+A client that waits has been let in by the system, and what it writes is owed an answer. Those that stand still lose
+their places first to last: who has had an answer and is idle, who has written nothing, who stopped in a request. None
+that is owed an answer does, and none on which bytes lie unread. Times are whole nanoseconds.
+"""
+
+from collections.abc import Iterator
+from itertools import islice
+from typing import TYPE_CHECKING
+
+from ternquay.net.limits import MS
+from ternquay.net.safety import CloseReason
+
+if TYPE_CHECKING:
+    from ternquay.net.client import ClientConnection
+    from ternquay.net.front import Front
+
+INTERVAL = 50 * MS  # between two looks while all places are taken
+SILENT = 250 * MS  # since it was accepted, without a byte: a true client writes as it connects
+STOPPED = 500 * MS  # without another byte of a request that has begun
+
+
+def evict(front: "Front", most: int) -> int:
+    """Ends so many clients at most; how many it was."""
+    return sum(1 for _ in islice(_evicted(front), most))
+
+
+def _evicted(front: "Front") -> Iterator["ClientConnection"]:
+    now = front.door.now()
+    for client in [one for one in front.resting if one.answered or now - one.moved >= SILENT]:
+        if client in front.resting and front.close_resting(client):
+            yield client
+    for client in [one for one in front.unfinished if _stopped(one, now)]:
+        # The end of one may set off that of another.
+        if client in front.unfinished and not client.lies_unread():
+            client.end_request(CloseReason.STOPPED)
+            yield client
+
+
+def _stopped(client: "ClientConnection", now: int) -> bool:
+    """Whether it stands in the middle of a request by its own doing, and no other of its requests is open."""
+    return not client.owed and not client.queued and not client.held_by_us() and now - client.deadline.last >= STOPPED
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -8,6 +8,7 @@
 from ternquay.net import meta
 from ternquay.net.client import ClientConnection
 from ternquay.net.door import Call, Door, unschedule
+from ternquay.net.eviction import INTERVAL, evict
 from ternquay.net.limits import MS, SECOND, Limits
 from ternquay.net.safety import CloseReason, may_close
 from ternquay.net.sockets import Sockets
@@ -34,6 +35,8 @@
         self.spared = 0  # how long one that has said nothing yet is left while they leave
         self.hello = meta.HELLO  # what an `mn` is answered with
         self.gate: Callable[[bool], None] = lambda accept: None
+        self.someone_waits: Callable[[], bool] = lambda: False  # to be accepted
+        self.admission: Call | None = None  # the next look for places for those
         sockets.shed_client, sockets.has_room = self.shed, self.has_room
 
     def buildProtocol(self, addr: Any) -> ClientConnection:
@@ -50,6 +53,17 @@
             # Against closing one that has just written its transaction: the next ones wait to be accepted.
             self.held_up = True
             self.gate(False)
+            if self.admission is None:
+                self.admission = self.door.later(client.made + INTERVAL, self._admit)
+
+    def _admit(self) -> None:
+        """Places for those that wait to be accepted, as long as all are taken."""
+        self.admission = None
+        if not self.held_up:
+            return
+        self.admission = self.door.later(self.door.now() + INTERVAL, self._admit)
+        if self.someone_waits():
+            evict(self, max(self.limits.accepts, self.limits.clients // 4))
 
     def room(self) -> int:
         """How many clients may be accepted at once without passing the limit on sockets."""
@@ -121,18 +135,18 @@
                 self.asked[client] = None
                 if len(self.asked) > self.limits.resting:
                     # Against clients that ask once and keep the connection: the others would get none.
-                    self._close_resting(next(iter(self.asked)))
+                    self.close_resting(next(iter(self.asked)))
             # At a drain one that has just come is about to write: it is closed after its answer.
             leaves = self.leaving and (client.answered or not self.spared)
             if leaves or (client.answered and (client.crowded or self.held_up)):
-                self._close_resting(client)
+                self.close_resting(client)
 
     def shed(self) -> bool:
         """Closes the client connection that has been idle longest."""
         now = self.door.now()
         for client in self.resting:
             if client.answered or now - client.moved > self.limits.fresh:
-                return self._close_resting(client)
+                return self.close_resting(client)
         return self._close_unproven(1) > 0
 
     def _close_unproven(self, most: int) -> int:
@@ -148,10 +162,11 @@
             self.drop(client, CloseReason.NO_REQUEST)
         return len(old)
 
-    def _close_resting(self, client: ClientConnection) -> bool:
+    def close_resting(self, client: ClientConnection) -> bool:
         if not client.shut():
             return False
-        self.safety.closing(CloseReason.LEAVING if self.leaving else CloseReason.IDLE, client.owed_ids())
+        idle = CloseReason.IDLE if client.answered else CloseReason.NO_REQUEST
+        self.safety.closing(CloseReason.LEAVING if self.leaving else idle, client.owed_ids())
         client.ended = True
         self.left(client)
         return True
@@ -191,7 +206,7 @@
     def _close_still(self) -> None:
         before = self.door.now() - self.spared
         for client in [c for c in self.resting if c.answered or c.moved <= before]:
-            self._close_resting(client)
+            self.close_resting(client)
 
     def cut_off(self) -> None:
         """Closes what owes nothing and does not move: half a command, for one."""
--- a/ternquay/net/listener.py
+++ b/ternquay/net/listener.py
@@ -23,6 +23,7 @@
     ETIMEDOUT,
     errorcode,
 )
+from select import POLLIN, poll
 from socket import NI_NUMERICHOST, NI_NUMERICSERV, getnameinfo
 from typing import Any
 
@@ -32,7 +33,8 @@
 # Errors of the connection that was to be accepted, which accept(2) passes on, or of one that a firewall forbids.
 OF_ONE_CONNECTION = frozenset({ECONNABORTED, EHOSTDOWN, EHOSTUNREACH, EINTR, ENETDOWN, ENETUNREACH, ENONET,
                                ENOPROTOOPT, EOPNOTSUPP, EPERM, EPROTO, ETIMEDOUT})
-PAUSE = 0.05  # seconds without accepting after any other error
+# Seconds without accepting after any other error: doubled by each that follows before a connection was accepted.
+PAUSE_LEAST, PAUSE_MOST = 0.002, 0.064
 
 
 class Listener(Port):
@@ -47,6 +49,7 @@
         self.failures: Counter[str] = Counter()  # of accept(), by the name of the error
         self.opened = True  # as whoever owns it has said
         self.pause: Any = None  # the timer of a pause
+        self.next_pause = PAUSE_LEAST
 
     def gate(self, accept: bool) -> None:
         """Accepts connections from now on, or none."""
@@ -56,6 +59,12 @@
         else:
             self.stopReading()
 
+    def someone_waits(self) -> bool:
+        """Whether a connection waits to be accepted."""
+        asked = poll()
+        asked.register(self.socket.fileno(), POLLIN)
+        return bool(asked.poll(0))
+
     def doRead(self) -> None:
         self.accept()
 
@@ -77,6 +86,7 @@
                     break
             else:
                 came += 1
+                self.next_pause = PAUSE_LEAST
                 self.take(connection, address)
         return came
 
@@ -91,7 +101,8 @@
         self.failed()
         if self.pause is None:
             self.stopReading()
-            self.pause = self.reactor.callLater(PAUSE, self.resume)
+            self.pause = self.reactor.callLater(self.next_pause, self.resume)
+            self.next_pause = min(PAUSE_MOST, 2 * self.next_pause)
         return False
 
     def resume(self) -> None:
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -33,6 +33,7 @@
     MEMORY = "more is kept for it than there is room for"
     VALUE_BROKEN = "a value that was begun can't be finished"
     NO_REQUEST = "it sent no whole request and its place was wanted"
+    STOPPED = "it stopped in a request and its place was wanted"
     IDLE = "idle, and its place was wanted"
     LEAVING = "idle, and this process is leaving"
     REMOVED = "its listener was taken away"
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -14,11 +14,9 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.error import CannotListenError
 from twisted.internet.main import installReactor
-from twisted.logger import ILogObserver, globalLogPublisher
-from zope.interface import implementer
 
 from ternquay.balance import Balancer
-from ternquay.net import meta
+from ternquay.net import library_log, meta
 from ternquay.net.closing import all_accepted, once_paid
 from ternquay.net.discovery import Discovery
 from ternquay.net.door import Door, unschedule
@@ -52,14 +50,6 @@
         return listener
 
 
-@implementer(ILogObserver)
-def pass_on(event: dict[str, Any]) -> None:
-    """Twisted tells of an exception that nobody caught in its own log alone."""
-    failure = event.get("log_failure")
-    if failure is not None:
-        logger.error("uncaught: {}", failure.getTraceback())
-
-
 class Service:
     """The assembled balancer."""
 
@@ -125,6 +115,8 @@
         self.port = port
         port.room, port.accepted, port.failed = self.front.room, self.turn.accepted, self.front.shed
         self.front.gate = lambda accept: port.gate(accept and not self.shut)
+        if isinstance(port, Listener):
+            self.front.someone_waits = port.someone_waits
         logger.info("{} serves on {}", self.launch.name, self.launch.listen)
 
     def _beside(self, then: Callable[[], None]) -> None:
@@ -238,6 +230,7 @@
 
     def _close_door(self) -> None:
         self.front.gate = lambda accept: None
+        self.front.someone_waits = lambda: False
         port = self.port
         # The other process, if there may be one, has the same queue.
         ours = self.replacement is None and isinstance(port, Listener)
@@ -279,7 +272,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
-    globalLogPublisher.addObserver(pass_on)
+    library_log.begin()
     reactor = MonotonicReactor()
     installReactor(reactor)
     service = Service(reactor, launch, decisions)
--- a/ternquay/rig/judge.py
+++ b/ternquay/rig/judge.py
@@ -18,6 +18,7 @@
 from ternquay.rig.terms import MS, Day, ProfileTerms
 
 RULES = ("lost", "twice", "drains", "cold", "wrong", "stopped")
+AFTER_PAUSE = 500 * MS  # in which a process that was stopped does what fell due meanwhile
 STOPPED = 3000 * MS  # in which a client that stops in the middle of a request has its error or its close
 CROSSED = 100 * MS  # a close that crosses a command comes back this soon at the latest
 ANSWERS = ("value", "receipt", "rolled-back", "abandoned", "error")
@@ -66,9 +67,12 @@
 
     def died(self, balancer: int, since: int, until: int) -> bool:
         """Whether that balancer was killed, or crashed, in between: then what it held is the client's."""
-        return self.paused(balancer, since, until) or any(
-            (life.killed or life.code) and life.ended and since <= life.ended <= until
-            for life in self.lives[balancer])
+        return self.paused(balancer, since, until) or self.ended(balancer, since, until)
+
+    def ended(self, balancer: int, since: int, until: int) -> bool:
+        """Whether it was killed, or crashed, in between."""
+        return any((life.killed or life.code) and life.ended and since <= life.ended <= until
+                   for life in self.lives[balancer])
 
     def paused(self, balancer: int, since: int, until: int) -> bool:
         """Whether it was stopped in between: a process that does not run answers nobody, nor in time."""
@@ -141,12 +145,13 @@
 def _stopped(case: _Case) -> Iterator[Breach]:
     for one in case.saw.stops:
         until = one.written + STOPPED + case.slack
-        # For as long as its process was stopped it could do nothing.
-        until += sum(pause.ended - pause.began for pause in case.saw.pauses
-                     if pause.balancer == one.balancer and pause.began <= until and one.began <= pause.ended)
+        # While its process is stopped it can do nothing; what is overdue by then ends soon after.
+        for pause in sorted(case.saw.pauses, key=lambda other: other.began):
+            if pause.balancer == one.balancer and pause.began <= until <= pause.ended + AFTER_PAUSE:
+                until = pause.ended + AFTER_PAUSE
         ends = [at for at in (one.told, one.closed) if at]
         late = min(ends, default=one.watched) > until
-        if one.written and late and not case.died(one.balancer, one.written, until):
+        if one.written and late and not case.ended(one.balancer, one.written, until):
             yield Breach("stopped", until, "left without an error and a close", msgspec.structs.asdict(one))
 
 
--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -28,7 +28,17 @@
 from ternquay.rig import records
 from ternquay.rig.child import Plan
 from ternquay.rig.contender import ROOT, Contender
-from ternquay.rig.terms import BALANCER_FAULTS, MS, SECOND, Day, Planned, laid_over, planned
+from ternquay.rig.system_calls import CallPlan, prepared
+from ternquay.rig.terms import (
+    BALANCER_FAULTS,
+    MS,
+    SECOND,
+    Day,
+    Planned,
+    has_stopping_clients,
+    laid_over,
+    planned,
+)
 
 READY_WITHIN = 20.0
 SAMPLE_EVERY = SECOND // 4
@@ -200,13 +210,14 @@
     out: Path
     all: list[Running] = field(default_factory=list)
 
-    def start(self, name: str, command: list[str], core: int, tree: Path = ROOT, piped: bool = True) -> Running:
+    def start(self, name: str, command: list[str], core: int, tree: Path = ROOT, piped: bool = True,
+              environment: dict[str, str] | None = None) -> Running:
         log = self.out / "logs" / f"{name}.log"
         pipe = subprocess.PIPE if piped else subprocess.DEVNULL
         with open(log, "ab") as errors:
             process = subprocess.Popen(
                 command, cwd=tree, stdin=pipe, stdout=pipe, stderr=errors, preexec_fn=bound_to(core),
-                env=os.environ | {"PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1"})
+                env=os.environ | {"PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1"} | (environment or {}))
         running = Running(name, process, log, psutil.Process(process.pid))
         self.all.append(running)
         return running
@@ -269,9 +280,17 @@
 
     def start(self) -> None:
         command = self.contender.command(self.config.resolve())
-        self.running = self.stage.start(f"balancer-{self.number}", command, self.core, self.contender.tree, False)
+        self.running = self.stage.start(f"balancer-{self.number}", command, self.core, self.contender.tree, False,
+                                        self.machine_faults())
         self.lives.append(records.Life(self.number, time.monotonic_ns()))
 
+    def machine_faults(self) -> dict[str, str]:
+        """What has the system calls and the clock of this life fail as the day has it."""
+        if not self.day.calls and not self.day.clock:
+            return {}
+        plan = CallPlan(self.day.calls, self.day.clock, Random(f"{self.seed}/calls/{self.number}").getrandbits(32))
+        return prepared(plan, self.stage.out / "logs", f"balancer-{self.number}", str(self.contender.tree))
+
     def answers(self) -> bool:
         """Whether it says that it serves."""
         host, port = self.listen.rsplit(":", 1)
@@ -435,7 +454,7 @@
     standins = [child("standins" if not n else f"standins-{n}", "ternquay.rig.standins", core, shard=n)
                 for n, core in enumerate(cores.standins)]
     clients = [child(f"load-{n}", "ternquay.rig.load", core, index=n) for n, core in enumerate(cores.loads)]
-    if day.clients.stops:
+    if has_stopping_clients(day):
         clients.append(child("stopping", "ternquay.rig.stopping", cores.loads[-1]))
     told = [one.told() for one in standins][0]
     for balancer in balancers:
@@ -459,10 +478,10 @@
     try:
         fleet = records.together([records.read_fleet(stage.out / f"{name}.saw") for name in standins])
         clients = [records.read_load(stage.out / f"load-{n}.saw") for n in range(loads)]
-        stops = records.read_stops(stage.out / "stopping.saw") if day.clients.stops else []
+        stops = records.read_stops(stage.out / "stopping.saw") if has_stopping_clients(day) else []
     except (OSError, msgspec.DecodeError) as fault:
         raise PlayError(f"what was seen can't be read: {fault}") from fault
-    for name in (*standins, *(f"load-{n}" for n in range(loads)), *(["stopping"] if day.clients.stops else [])):
+    for name in (*standins, *(f"load-{n}" for n in range(loads)), *(["stopping"] if has_stopping_clients(day) else [])):
         (stage.out / f"{name}.saw").unlink()
         (stage.out / f"{name}.json").unlink()
     return records.Saw(
--- a/ternquay/rig/soak.py
+++ b/ternquay/rig/soak.py
@@ -20,7 +20,8 @@
 from ternquay.rig.measure import measure
 from ternquay.rig.play import play
 from ternquay.rig.results import write_result
-from ternquay.rig.terms import BALANCER_FAULTS, Day, Fault, FaultKind
+from ternquay.rig.system_calls import struck
+from ternquay.rig.terms import BALANCER_FAULTS, Call, CallFault, ClockStep, Day, Fault, FaultKind
 
 QUIET = 0.05  # of the day at its start, and at its end, in which no fault begins or ends
 LOADS = 2
@@ -65,9 +66,23 @@
     "balancer-restart": FaultRange((3, 5)),
     "balancer-stop": FaultRange((0.1, 1.5)),
     "reload": FaultRange((0.1, 0.2)),
+    "crowd-stops": FaultRange((0.2, 0.4), count=150),
+    "crowd-silent": FaultRange((1, 5), count=150),
+    "crowd-unread": FaultRange((1, 8), count=100),
 }
 
 
+# Errors that a real machine gives while the other side of a connection lives on.
+CALL_ERRORS: dict[Call, tuple[str, ...]] = {
+    "accept": ("ECONNABORTED", "EPROTO", "ENETDOWN", "EPERM", "EINTR", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
+    "connect_ex": ("ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT", "ENOBUFS", "EADDRNOTAVAIL", "ECONNREFUSED"),
+    "setsockopt": ("ENOBUFS", "EINVAL", "ENOMEM"),
+    "send": ("ENOBUFS",),
+}
+CALL_RATES = (0.02, 0.2, 1.0)
+STEPS = (-3600.0, -5.0, -0.5, 0.5, 5.0, 3600.0)  # seconds by which the wall clock is set
+
+
 class SoakTerms(msgspec.Struct, frozen=True):
     """The size of a soak's day. Its rate is low, as the rules are its matter and not what a core carries."""
 
@@ -77,6 +92,9 @@
     rate: float = 240.0
     faults: int = 30
     stops: float = 6.0  # clients a second that stop in the middle of a request
+    sockets: int = 128  # of each balancer, so that a crowd takes them all
+    calls: int = 6  # kinds of system calls that fail for a while, and
+    steps: int = 3  # of the wall clock, at each balancer
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -90,10 +108,12 @@
     violations: int  # that the balancers counted themselves
     uncaught: int  # exceptions in their logs
     stops: int
+    struck: int  # system calls that failed and steps of the clock, as proof that they did
 
     def line(self) -> str:
         return (f"seed {self.seed}: service {self.service:.3f}, rules {self.rules}, crashes {self.crashes}, "
-                f"violations {self.violations}, uncaught {self.uncaught}" + (", late" if self.late else ""))
+                f"violations {self.violations}, uncaught {self.uncaught}, {self.stops} stopped clients, "
+                f"{self.struck} calls failed" + (", late" if self.late else ""))
 
     def broken(self) -> bool:
         return bool(any(self.rules.values()) or self.crashes or self.violations or self.uncaught)
@@ -114,6 +134,16 @@
     return one.balancer == other.balancer and one.start < other.end + gap and other.start < one.end + gap
 
 
+def drawn_call(random: Random, seconds: float) -> CallFault:
+    """One kind of system call that fails with one error, for a while and now and then."""
+    call = random.choice(list(CALL_ERRORS))
+    start = random.uniform(0.0, seconds)
+    rate = random.choice(CALL_RATES)
+    # While none goes through nothing can be accepted or written, whatever is owed.
+    length = random.uniform(0.05, 0.3) if rate == 1.0 else random.uniform(0.5, 4.0)
+    return CallFault(call, random.choice(CALL_ERRORS[call]), start, start + length, rate)
+
+
 def soak_day(base: Day, seed: int, terms: SoakTerms) -> Day:
     """The day of that seed."""
     random = Random(f"soak/{seed}")
@@ -129,8 +159,11 @@
     replaced = msgspec.structs.replace
     return replaced(
         base, name=f"soak-{seed}", line="random faults that overlap", seconds=terms.seconds, faults=tuple(faults),
-        hosts=replaced(base.hosts, count=terms.hosts), balancers=replaced(base.balancers, count=terms.balancers),
-        clients=replaced(base.clients, rate=terms.rate, stops=terms.stops))
+        hosts=replaced(base.hosts, count=terms.hosts),
+        balancers=replaced(base.balancers, count=terms.balancers, sockets=terms.sockets),
+        clients=replaced(base.clients, rate=terms.rate, stops=terms.stops),
+        calls=tuple(drawn_call(random, terms.seconds) for _ in range(terms.calls)),
+        clock=tuple(ClockStep(random.uniform(0.0, terms.seconds), random.choice(STEPS)) for _ in range(terms.steps)))
 
 
 def own_findings(logs: Path) -> tuple[int, int]:
@@ -154,7 +187,7 @@
     write_result(out, result, breaches)
     violations, uncaught = own_findings(out / "logs")
     return SoakResult(seed, result["service"], result["late"], result["rules"], result["crashes"], violations, uncaught,
-                      len(saw.stops)), breaches
+                      len(saw.stops), struck(out / "logs").total()), breaches
 
 
 def soak(base: Day, seeds: range, terms: SoakTerms, contender: Contender, out: Path,
--- a/ternquay/rig/standins/discovery.py
+++ b/ternquay/rig/standins/discovery.py
@@ -100,7 +100,10 @@
     def end_watches(self) -> None:
         """Discovery went down."""
         watches, self.watches = self.watches, set()
+        for counted in self.counted:
+            counted.goes_down(self.now())
         for watch in watches:
+            self.counted[watch.balancer].fails()
             self._fail(watch.call)
 
     def _fail(self, call: Any) -> None:
--- a/ternquay/rig/stopping.py
+++ b/ternquay/rig/stopping.py
@@ -1,7 +1,8 @@
-"""Clients that stop in the middle of a request and stay: one process, at random places and moments of the day.
+"""Clients that do not go on: one process, at random places and moments of the day, and in crowds.
 
-Each connects to one balancer, writes a part of a request (behind a whole one, now and then), and waits. What it saw is
-written down for the judge.
+One that stops in the middle of a request connects to one balancer, writes a part of a request, stays and waits; what it
+saw is written down for the judge. A crowd comes at once, to take all places that its balancer has: of clients that stop
+like this, that say nothing, or that ask and take no answers. The last two go when their fault ends.
 """
 
 import sys
@@ -15,9 +16,11 @@
 
 from ternquay.rig import records
 from ternquay.rig.child import Plan, install, live, read_plan
-from ternquay.rig.terms import SECOND
+from ternquay.rig.terms import CROWDS, SECOND, Planned, planned
 
 DIAL = 1.0  # seconds
+CROWD_WITHIN = 0.2  # seconds in which a crowd comes
+UNREAD_REQUESTS = 64  # that one client of a crowd writes at once
 ERRORS = (b"CLIENT_ERROR", b"SERVER_ERROR", b"ERROR")
 
 
@@ -56,13 +59,34 @@
         self.seen.closed = self.clients.clock()
 
 
+class Idling(Protocol):
+    """Writes what it has, reads nothing, and goes when it is told."""
+
+    transport: Any
+
+    def __init__(self, text: bytes) -> None:
+        self.text = text
+        self.gone = False
+
+    def connectionMade(self) -> None:
+        self.transport.pauseProducing()
+        self.transport.write(self.text)
+        if self.gone:
+            self.transport.abortConnection()
+
+    def go(self) -> None:
+        self.gone = True
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+
 class Dialer(ClientFactory):
     noisy = False
 
-    def __init__(self, client: Stopping) -> None:
+    def __init__(self, client: Protocol) -> None:
         self.client = client
 
-    def buildProtocol(self, addr: Any) -> Stopping:
+    def buildProtocol(self, addr: Any) -> Protocol:
         return self.client
 
 
@@ -77,22 +101,51 @@
 
     def start(self, begin: int) -> None:
         self.begin = begin
+        for fault in planned(self.plan.day, self.plan.seed):
+            if fault.kind in CROWDS:
+                self.reactor.callLater((begin + fault.start - self.clock()) / SECOND, self._crowd, fault)
         self._wait()
 
     def _wait(self) -> None:
-        self.reactor.callLater(self.random.expovariate(self.plan.day.clients.stops), self._next)
+        if self.plan.day.clients.stops:
+            self.reactor.callLater(self.random.expovariate(self.plan.day.clients.stops), self._next)
+
+    def _crowd(self, fault: Planned) -> None:
+        """All clients of a crowd, a few in each turn."""
+        idling: list[Idling] = []
+        for number in range(fault.count):
+            pause = CROWD_WITHIN * number / fault.count
+            if fault.kind == "crowd-stops":
+                self.reactor.callLater(pause, self._stop_at, fault.balancer)
+                continue
+            text = self._whole_requests() if fault.kind == "crowd-unread" else b""
+            idling.append(Idling(text))
+            self.reactor.callLater(pause, self._dial, fault.balancer, idling[-1])
+        for one in idling:
+            self.reactor.callLater((fault.end - fault.start) / SECOND, one.go)
+
+    def _whole_requests(self) -> bytes:
+        """Reads of one client, whose answers are more than the system keeps for it."""
+        profile = next(one.name for one in self.plan.day.profiles if not one.write)
+        number = self.random.getrandbits(48)
+        return b"".join(b"mg k%d v Ou%x.%d Pc=%s,d=900\r\n" % (one, number, one, profile.encode())
+                        for one in range(UNREAD_REQUESTS))
+
+    def _dial(self, balancer: int, client: Protocol) -> None:
+        host, _, port = self.plan.balancers[balancer].rpartition(":")
+        self.reactor.connectTCP(host, int(port), Dialer(client), timeout=DIAL)
 
     def _next(self) -> None:
         if self.clock() > self.begin + int(self.plan.day.seconds * SECOND):
             return
-        balancer = self.random.randrange(len(self.plan.balancers))
+        self._stop_at(self.random.randrange(len(self.plan.balancers)))
+        self._wait()
+
+    def _stop_at(self, balancer: int) -> None:
         profile = self.random.choice(self.plan.day.profiles).name
         seen = records.Stop(balancer, self.clock())
         self.seen.append(seen)
-        text = half_request(self.random, profile, len(self.seen))
-        host, _, port = self.plan.balancers[balancer].rpartition(":")
-        self.reactor.connectTCP(host, int(port), Dialer(Stopping(self, seen, text)), timeout=DIAL)
-        self._wait()
+        self._dial(balancer, Stopping(self, seen, half_request(self.random, profile, len(self.seen))))
 
     def saw(self) -> list[records.Stop]:
         now = self.clock()
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -1,5 +1,6 @@
 """A day of the rig: the world that is played, decoded from TOML and checked before anything starts."""
 
+import errno
 import tomllib
 from importlib import resources
 from pathlib import Path
@@ -19,11 +20,13 @@
     "host-slow", "host-silent", "host-crash", "host-replaced", "rolling-release", "origin-slow", "hot-key", "burst",
     "once-keys", "list-down", "list-late", "list-garbage", "link-refuse", "link-reset", "link-delay", "link-drip",
     "link-cut", "link-silent", "answers-lost", "answers-spoilt", "balancer-kill", "balancer-restart", "reload",
-    "host-drains", "list-silent", "list-queue", "balancer-stop",
+    "host-drains", "list-silent", "list-queue", "balancer-stop", "crowd-stops", "crowd-silent", "crowd-unread",
 ]
 ON_HOSTS = {"host-slow", "host-silent", "host-crash", "host-replaced", "link-refuse", "link-reset", "link-delay",
             "link-drip", "link-cut", "link-silent", "answers-lost", "answers-spoilt", "host-drains"}
 BALANCER_FAULTS = {"balancer-kill", "balancer-restart", "reload", "balancer-stop"}
+# Crowds of `count` clients of one balancer: each stops in a request and stays, says nothing, or takes no answers.
+CROWDS = {"crowd-stops", "crowd-silent", "crowd-unread"}
 
 
 class DayError(ValueError):
@@ -181,6 +184,26 @@
     ms: Millis = 0
 
 
+Call = Literal["accept", "connect_ex", "send", "recv", "setsockopt", "shutdown"]
+
+
+class CallFault(Terms, frozen=True):
+    """`call` fails with `error` from `start` to `end`, in seconds from the start of the process, so often of all."""
+
+    call: Call
+    error: str
+    start: float = 0.0
+    end: float = 1e9
+    rate: Share = 1.0
+
+
+class ClockStep(Terms, frozen=True):
+    """The wall clock of a process is set forward, or back, so many seconds after its start, by so many seconds."""
+
+    at: Annotated[float, msgspec.Meta(ge=0.0)]
+    by: float
+
+
 class Day(Terms, frozen=True):
     name: str
     line: str
@@ -197,6 +220,13 @@
     flood: FloodTerms = FloodTerms()
     changes: ChangeTerms = ChangeTerms()
     agreement: AgreementTerms = AgreementTerms()
+    calls: tuple[CallFault, ...] = ()  # of each balancer, from the start of each of its lives
+    clock: tuple[ClockStep, ...] = ()
+
+
+def has_stopping_clients(day: Day) -> bool:
+    """Whether a process of clients that don't go on is part of the play."""
+    return day.clients.stops > 0 or any(one.kind in CROWDS for one in day.faults)
 
 
 class Planned(msgspec.Struct, frozen=True):
@@ -239,8 +269,12 @@
             return f"faults[{i}].end: {f.end} is not after the start"
         if f.kind in ON_HOSTS | {"rolling-release"} and f.share is None and f.count is None:
             return f"faults[{i}].share: a share or a count of hosts is wanted"
-        if f.kind in BALANCER_FAULTS and f.balancer >= day.balancers.count:
+        if f.kind in CROWDS and f.count is None:
+            return f"faults[{i}].count: a count of clients is wanted"
+        if f.kind in BALANCER_FAULTS | CROWDS and f.balancer >= day.balancers.count:
             return f"faults[{i}].balancer: there are {day.balancers.count} balancers, from 0"
+    if wrong := call_fault(day.calls, "calls"):
+        return wrong
     for i, trouble in enumerate(day.agreement.troubles):
         if trouble.end <= trouble.start:
             return f"agreement.troubles[{i}].end: {trouble.end} is not after the start"
@@ -249,6 +283,16 @@
     return _tenants_fault(day)
 
 
+def call_fault(calls: tuple[CallFault, ...], where: str) -> str:
+    """What is wrong with failing calls beyond the types of their fields, or nothing."""
+    for i, one in enumerate(calls):
+        if one.error not in errno.errorcode.values():
+            return f"{where}[{i}].error: no error is called {one.error:.40}"
+        if not 0 <= one.start < one.end:
+            return f"{where}[{i}].end: {one.end} is not after the start"
+    return ""
+
+
 def _tenants_fault(day: Day) -> str:
     names = [one.name for one in day.tenants]
     owners = {one.name for one in day.tenants if not one.fleet}
--- a/tests/test_drain_silent.py
+++ b/tests/test_drain_silent.py
@@ -36,6 +36,14 @@
     assert none.due(42 * SECOND - 1, made) == 1 and none.due(42 * SECOND, made) == 3
     none.failed = False
     assert none.due(12 * SECOND, made) == 1 and none.due(14 * SECOND, made) == 2
+    ended = Counted(10 * SECOND, version=0)
+    ended.asks(1 * SECOND, 3 * SECOND)
+    ended.falls_silent(2 * SECOND)
+    ended.goes_down(5 * SECOND)  # and its watch ends with it: it missed what could be told by then
+    ended.asks(6 * SECOND, 50)
+    ended.fails()
+    assert ended.due(8 * SECOND - 1, made) == 0 and ended.due(8 * SECOND, made) == 2
+    assert ended.due(46 * SECOND - 1, made) == 2 and ended.due(46 * SECOND, made) == 3  # by the clock of a failed call
 
 
 def play(out: Path, decisions: str) -> "subprocess.Popen[str]":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,11 +56,13 @@
     assert [breach.rule for breach in judge(BASE, saw(one))] == ["stopped"] * broken
 
 
-def test_the_time_in_which_a_process_was_stopped_or_after_which_it_was_killed_is_not_its_own() -> None:
+def test_what_falls_due_while_a_process_is_stopped_or_after_it_was_killed_is_not_its_own() -> None:
     late = stop(closed=3900)
     assert judge(BASE, saw(late))
-    assert not judge(BASE, saw(late, pauses=(Pause(0, T0 + SECOND, T0 + 2 * SECOND),)))
-    assert judge(BASE, saw(late, pauses=(Pause(1, T0 + SECOND, T0 + 2 * SECOND),)))
+    assert judge(BASE, saw(late, pauses=(Pause(0, T0 + SECOND, T0 + 2 * SECOND),)))  # it had a second left
+    assert not judge(BASE, saw(late, pauses=(Pause(0, T0 + SECOND, T0 + 3500 * MS),)))
+    assert judge(BASE, saw(late, pauses=(Pause(0, T0 + SECOND, T0 + 3300 * MS),)))
+    assert judge(BASE, saw(late, pauses=(Pause(1, T0 + SECOND, T0 + 3500 * MS),)))
     assert not judge(BASE, saw(late, lives=(Life(0, T0, ended=T0 + SECOND, killed=True),)))
 
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,15 +6,19 @@
 import sys
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import orjson
 import pytest
+from loguru import logger
+from twisted.python.failure import Failure
 
-from ternquay.rig.system_calls import CallFault, CallPlan, prepared, read_plan, struck
-from ternquay.rig.terms import DayError
+from ternquay.net.library_log import LibraryLog
+from ternquay.rig.system_calls import CallPlan, prepared, read_plan, struck
+from ternquay.rig.terms import CallFault, DayError
 from tests.helper import member
 from tests.test_flow import Store
 from tests.test_net import mg
@@ -83,6 +87,34 @@
         assert one.process.poll() is None
 
 
+def test_a_call_that_fails_for_want_of_room_now_and_then_holds_nobody_up(tmp_path: Path) -> None:
+    """A pause begins short, and grows only while nothing is accepted in between."""
+    with running(tmp_path, CallFault("accept", "ENFILE", rate=0.2)) as one:
+        began = time.monotonic()
+        with ExitStack() as waiting:
+            clients = [waiting.enter_context(socket.create_connection(("127.0.0.1", one.port), timeout=5))
+                       for _ in range(100)]
+            for number, client in enumerate(clients):
+                client.sendall(mg(number, key="k9"))
+            assert all(client.recv(200) for client in clients)
+        assert time.monotonic() - began < 0.8 and struck(tmp_path)["accept ENFILE"] > 10
+
+
+def test_an_error_that_the_library_has_dealt_with_is_one_warning(capsys: pytest.CaptureFixture[str]) -> None:
+    logger.remove()
+    logger.add(sys.stderr, format="{level} {message}")
+    observer = LibraryLog()
+    failed: Any = Failure
+    handled = {"log_failure": failed(OSError(22, "Invalid argument")), "why": "got error when setting TCP_NODELAY"}
+    for _ in range(3):
+        observer(handled)
+    observer({"log_format": "Starting factory"})
+    observer({"log_failure": failed(ValueError("x")), "why": "Unhandled"})
+    lines = capsys.readouterr().err.splitlines()
+    assert lines[0].startswith("WARNING got error when setting TCP_NODELAY: [Errno 22]")
+    assert lines[1].startswith("ERROR uncaught: ") and sum("TCP_NODELAY" in line for line in lines) == 1
+
+
 @pytest.mark.parametrize("error", OF_ONE_CONNECTION)
 def test_an_error_of_one_connection_costs_no_other(tmp_path: Path, error: str) -> None:
     with running(tmp_path, CallFault("accept", error, rate=0.5)) as one:
