A listening socket is made again where the system has none; failing connections spin no loop

Change: an address that is taken or can't be ours ends the start as before; any other failure is tried again each 0.1 s for 20 s. After 16 connections that failed in a row accepting pauses, as for want of room.

--- a/ternquay/net/listener.py
+++ b/ternquay/net/listener.py
@@ -35,6 +35,7 @@
                                ENOPROTOOPT, EOPNOTSUPP, EPERM, EPROTO, ETIMEDOUT})
 # Seconds without accepting after any other error: doubled by each that follows before a connection was accepted.
 PAUSE_LEAST, PAUSE_MOST = 0.002, 0.064
+FAILED_MOST = 16  # connections that may fail one after the other, before there is a pause all the same
 
 
 class Listener(Port):
@@ -50,6 +51,7 @@
         self.opened = True  # as whoever owns it has said
         self.pause: Any = None  # the timer of a pause
         self.next_pause = PAUSE_LEAST
+        self.failed_since = 0  # connections that failed since the last one that was accepted
 
     def gate(self, accept: bool) -> None:
         """Accepts connections from now on, or none."""
@@ -86,7 +88,7 @@
                     break
             else:
                 came += 1
-                self.next_pause = PAUSE_LEAST
+                self.next_pause, self.failed_since = PAUSE_LEAST, 0
                 self.take(connection, address)
         return came
 
@@ -96,9 +98,11 @@
         self.failures[name] += 1
         if self.failures[name] == 1:
             logger.warning("accept failed: {}, further ones are counted and not told", name)
-        if fault.errno in OF_ONE_CONNECTION:
+        self.failed_since += 1
+        if fault.errno in OF_ONE_CONNECTION and self.failed_since < FAILED_MOST:
             return True
-        self.failed()
+        if fault.errno not in OF_ONE_CONNECTION:
+            self.failed()
         if self.pause is None:
             self.stopReading()
             self.pause = self.reactor.callLater(self.next_pause, self.resume)
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from errno import EACCES, EADDRINUSE, EADDRNOTAVAIL, EAFNOSUPPORT
 from pathlib import Path
 from typing import Any
 
@@ -33,6 +34,9 @@
 from ternquay.net.turn import MarkedPoll, Turn
 
 FIRST_LOOK = 0.001  # seconds: the loop has run once
+# An address that is taken, or can't be ours, is a fault of the configuration; anything else may pass.
+NOT_OURS = frozenset({EADDRINUSE, EADDRNOTAVAIL, EACCES, EAFNOSUPPORT})
+LISTEN_AGAIN, LISTEN_WITHIN = 0.1, 20.0  # seconds: between two tries, and for all of them
 
 
 class MonotonicReactor(EPollReactor):
@@ -66,6 +70,7 @@
         self.front = Front(reactor, self.door, self.limits, sockets, self.turn)
         self.discovery = self._discovery(launch.discovery)
         self.port: Any = None
+        self.listen_until = reactor.seconds() + LISTEN_WITHIN
         self.management = ManagementPort(reactor, self, self.limits) if launch.management is not None else None
         self.fault: LaunchError | None = None  # found when the loop ran already
         self.ending = self.drained = self.stopping = False
@@ -105,8 +110,12 @@
         try:
             self._open(self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host))
         except CannotListenError as fault:
-            self.fault = LaunchError(f"listen: {where}: {fault.socketError}")
-            self.reactor.stop()
+            if fault.socketError.errno in NOT_OURS or self.reactor.seconds() > self.listen_until:
+                self.fault = LaunchError(f"listen: {where}: {fault.socketError}")
+                self.reactor.stop()
+                return
+            self.door.tell("WARNING", "can't listen yet: {}", fault.socketError.strerror)
+            self.reactor.callLater(LISTEN_AGAIN, self._listen)
 
     def _open(self, port: Any) -> None:
         if self.ending:
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -100,6 +100,21 @@
         assert time.monotonic() - began < 0.8 and struck(tmp_path)["accept ENFILE"] > 10
 
 
+def test_connections_that_fail_one_after_the_other_do_not_spin_the_loop(tmp_path: Path) -> None:
+    with running(tmp_path, CallFault("accept", "EPROTO", end=2.5)) as one:
+        began = time.monotonic()
+        assert asked(one.port).startswith((b"VA 9", b"SERVER_ERROR busy"))
+        assert time.monotonic() - began > 0.2  # it failed until then
+        assert struck(tmp_path)["accept EPROTO"] < OFTEN and one.cpu() < 2.0
+
+
+@pytest.mark.parametrize("error", ["EINVAL", "ENOBUFS", "ENOMEM"])
+def test_a_listening_socket_that_can_not_be_made_for_a_moment_is_made_later(tmp_path: Path, error: str) -> None:
+    with running(tmp_path, CallFault("setsockopt", error, end=1.5)) as one:
+        assert asked(one.port).startswith((b"VA 9", b"SERVER_ERROR busy"))
+        assert "can't listen yet" in one.log() and "Traceback" not in one.log()
+
+
 def test_an_error_that_the_library_has_dealt_with_is_one_warning(capsys: pytest.CaptureFixture[str]) -> None:
     logger.remove()
     logger.add(sys.stderr, format="{level} {message}")
