--- a/ternquay/net/listener.py
+++ b/ternquay/net/listener.py
@@ -30,6 +30,8 @@
 from loguru import logger
 from twisted.internet.tcp import Port
 
+from ternquay.net.transports import PatientServer
+
 # Errors of the connection that was to be accepted, which accept(2) passes on, or of one that a firewall forbids.
 OF_ONE_CONNECTION = frozenset({ECONNABORTED, EHOSTDOWN, EHOSTUNREACH, EINTR, ENETDOWN, ENETUNREACH, ENONET,
                                ENOPROTOOPT, EOPNOTSUPP, EPERM, EPROTO, ETIMEDOUT})
@@ -41,6 +43,7 @@
 class Listener(Port):
     """`room` tells how many connections may be accepted now; `accepted` is told whether that many were."""
 
+    transport = PatientServer
     room: Callable[[], int] = staticmethod(lambda: 1)
     accepted: Callable[[bool], None] = staticmethod(lambda all_that_fit: None)
     failed: Callable[[], None] = staticmethod(lambda: None)  # told of a failure for want of room
@@ -72,25 +75,22 @@
 
     def accept(self) -> None:
         """Accepts what waits, as far as there is room."""
-        most = self.room()
-        self.accepted(self.accept_some(most) >= most)
+        self.accepted(self.accept_some(self.room()))
 
-    def accept_some(self, most: int) -> int:
-        """Accepts up to so many connections; how many came."""
-        came = 0
+    def accept_some(self, most: int) -> bool:
+        """Accepts up to so many connections; whether more may wait, as that many came or accepting failed."""
         for _ in range(most):
             try:
                 connection, address = self.socket.accept()
             except BlockingIOError:
-                break
+                return False
             except OSError as fault:
                 if not self.goes_on_after(fault):
-                    break
+                    return True
             else:
-                came += 1
                 self.next_pause, self.failed_since = PAUSE_LEAST, 0
                 self.take(connection, address)
-        return came
+        return True
 
     def goes_on_after(self, fault: OSError) -> bool:
         """Counts a failure, and warns of the first of its kind; whether the next connection may be tried at once."""
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -31,6 +31,7 @@
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 from ternquay.net.start_times import StartTimes
+from ternquay.net.transports import PatientConnector
 from ternquay.net.turn import MarkedPoll, Turn
 
 FIRST_LOOK = 0.001  # seconds: the loop has run once
@@ -53,6 +54,11 @@
         listener.startListening()
         return listener
 
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None) -> Any:
+        connector = PatientConnector(host, port, factory, timeout, bindAddress, self)
+        connector.connect()
+        return connector
+
 
 class Service:
     """The assembled balancer."""
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -33,11 +33,13 @@
     attempt_refusal,
     may_close,
 )
+from ternquay.rig.terms import CallFault
 from tests.helper import FACTS, Net, Wire, member
 from tests.test_flow import Store
 from tests.test_management import OUT, call, talk
 from tests.test_net import mg, ms, va
 from tests.test_review_links import free, serving, told
+from tests.test_system_calls import running
 
 OWED = 3.0  # seconds from its last byte in which a client that stopped has its error and its close
 
@@ -146,6 +148,15 @@
     assert not late_ends(clients)
 
 
+def test_on_loopback_whoever_stops_before_it_is_accepted_is_ended_in_time_where_accepting_fails(
+        tmp_path: Path) -> None:
+    """A failed accept() tells nothing of who else waits."""
+    clients = [Stopping([b"mg k v O1 Pc=re"]) for _ in range(200)]
+    with running(tmp_path, CallFault("accept", "EMFILE", rate=0.1)) as one:
+        watched(one.port, clients, OWED + 4)
+    assert not late_ends(clients) and max(client.closed - client.written for client in clients) < 2.8
+
+
 def test_on_loopback_whoever_stops_while_the_process_stands_still_is_ended_in_time(tmp_path: Path) -> None:
     """The bytes came while the process was stopped: it reads them later, and they are as old as they are."""
     store, listen = Store(3), free()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -108,6 +108,16 @@
         assert struck(tmp_path)["accept EPROTO"] < OFTEN and one.cpu() < 2.0
 
 
+def test_bytes_that_the_system_refuses_for_a_while_do_not_spin_the_loop(tmp_path: Path) -> None:
+    with running(tmp_path, CallFault("send", "ENOBUFS", start=1.0, end=2.5)) as one:
+        time.sleep(1.0)
+        before = one.cpu()
+        asked(one.port)
+        time.sleep(1.0)
+        assert 0 < struck(tmp_path)["send ENOBUFS"] < 3 * OFTEN and one.cpu() - before < 0.5
+        assert asked(one.port, 2).startswith((b"VA 9 O2", b"SERVER_ERROR busy"))
+
+
 @pytest.mark.parametrize("error", ["EINVAL", "ENOBUFS", "ENOMEM"])
 def test_a_listening_socket_that_can_not_be_made_for_a_moment_is_made_later(tmp_path: Path, error: str) -> None:
     with running(tmp_path, CallFault("setsockopt", error, end=1.5)) as one:
