Incident stopped clients: who takes no answers and goes on asking is never ended; a test that fails

The class from its third end (an open risk of the postmortem): the 5 s after which a client that takes no answers is cut off begin anew with each byte that it sends or that is written for it. Bounded by 2 MiB alone.

--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -409,6 +409,30 @@
     assert not client.lost and "MN" in net.trace[-1], net.trace
 
 
+def test_whoever_takes_no_answers_is_ended_however_much_it_asks() -> None:
+    """What it sends, and what is written for it, are no sign that it takes anything."""
+    net = Net()
+    client = net.client()
+    client.stuck = True
+    for number in range(20):
+        client.feed(mg(number, profile="nobody"))
+        net.run(500)
+        if client.lost:
+            break
+    assert client.lost and 10 <= number <= 12  # some 5 s
+
+
+def test_whoever_takes_its_answers_slowly_is_not_ended() -> None:
+    net = Net()
+    client = net.client()
+    client.stuck = True
+    for number in range(20):
+        client.feed(mg(number, profile="nobody"))
+        net.run(1000)
+        client.taken += 1
+    assert not client.lost and not client.closing
+
+
 @pytest.mark.parametrize("owner", ["front", "pool"])
 def test_a_fault_in_one_sweep_does_not_end_the_sweeps(owner: str, monkeypatch: pytest.MonkeyPatch) -> None:
     net = Net()
