A client that takes no answers is ended after 5 s, however much it asks

Cause: ClientConnection.moved, which each byte read and each byte queued sets anew, was the one clock for all that stands still on a connection, so asking put off the end of a client that reads nothing; and one whose next bytes lay unread at the look was passed over. Change: transports count what the system has taken, and a look that finds none taken since the last for 5 s ends the connection; a stop of the process is no such time.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -78,6 +78,8 @@
         self.owed: deque[Owed | bytes] = deque()  # bytes: an answer that needed no transaction
         self.crowded = self.closing = self.ended = self.reading = self.answered = False
         self.queued = 0  # bytes that the system has not taken yet
+        self.untaken_since = 0  # since when it was seen that none of those are taken; 0: not looked at
+        self.taken_before = 0  # bytes that the system had taken at the last look
         self.owing = 0  # those of them that count against the room of all: a large value is held back instead
         self.pours: Owed | None = None  # whose large value is coming in
         self.coming: Flow | None = None  # and that value
@@ -346,7 +348,7 @@
         """The system has taken all answers written so far."""
         if self.queued:
             self.front.queued -= self.owing
-            self.queued = self.owing = 0
+            self.queued = self.owing = self.untaken_since = 0
             self.moved = self.front.door.now()
             first = self.owed[0] if self.owed else None
             if isinstance(first, Owed) and first.flow is not None:
@@ -359,5 +361,15 @@
 
     def stalled(self) -> bool:
         """It takes none of its answers, or is held back from a request that gets nowhere."""
-        half = self.queued or self.ended or (self.unreading and not self.machine.quiet())
-        return bool(half) and self.front.door.now() - self.moved > self.front.limits.stalled
+        now = self.front.door.now()
+        if self.queued:
+            return self.untaken(now) > self.front.limits.stalled
+        half = self.ended or (self.unreading and not self.machine.quiet())
+        return half and now - self.moved > self.front.limits.stalled
+
+    def untaken(self, now: int) -> int:
+        """For how long the system has taken none of what is queued. What is read or queued meanwhile is no progress."""
+        taken = self.transport.taken
+        if not self.untaken_since or taken != self.taken_before or self.front.turn.stood_still(now):
+            self.untaken_since, self.taken_before = now, taken
+        return now - self.untaken_since
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -189,7 +189,7 @@
     def swept(self) -> None:
         """Closes clients that take up room and do not go on."""
         # After a stop of the process, or a long turn, this comes before the reading of what came meanwhile.
-        for client in [c for c in self.all if c.stalled() and not c.lies_unread()]:
+        for client in [c for c in self.all if c.stalled() and (c.queued or not c.lies_unread())]:
             client.abort(CloseReason.ANSWERS_UNREAD if client.queued or client.ended else CloseReason.VALUE_BROKEN)
         if self.held_up:
             self.shed()
--- a/ternquay/net/transports.py
+++ b/ternquay/net/transports.py
@@ -1,4 +1,4 @@
-"""TCP connections that wait a moment where the system refuses to take bytes that it said it has room for.
+"""TCP connections that count what the system takes, and wait a moment where it refuses what it said it has room for.
 
 send(2) may fail with ENOBUFS on a socket that the poll calls writable. The library tries again with the next poll, at
 once, so that the loop spins for as long as that lasts. Here such a connection writes nothing for a moment.
@@ -15,13 +15,15 @@
 class _Patient:
     """Mixed into a connection of the library."""
 
-    refused = 0
+    refused = 0  # times in a row that the system took nothing
+    taken = 0  # bytes that it took
 
     def writeSomeData(self: Any, data: Any) -> Any:
         taken = super().writeSomeData(data)  # type: ignore[misc]
-        if taken:
+        if taken > 0:
             self.refused = 0
-        elif data:
+            self.taken += taken
+        elif taken == 0 and data:
             self.refused += 1
             if self.refused > REFUSED_MOST:
                 self.refused = 0
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -414,6 +414,7 @@
     net = Net()
     client = net.client()
     client.stuck = True
+    client.unread = b"m"  # more of it lies unread at each look
     for number in range(20):
         client.feed(mg(number, profile="nobody"))
         net.run(500)
@@ -422,6 +423,20 @@
     assert client.lost and 10 <= number <= 12  # some 5 s
 
 
+def test_a_stop_of_the_process_is_no_time_in_which_a_client_takes_nothing() -> None:
+    net = Net()
+    client = net.client()
+    client.stuck = True
+    client.feed(mg(1, profile="nobody"))
+    net.run(1000)
+    net.turn.late = True  # the process was stopped for long
+    net.reactor.advance(20.0)
+    net.turn.late = False
+    assert not client.lost
+    net.run(5300)
+    assert client.lost
+
+
 def test_whoever_takes_its_answers_slowly_is_not_ended() -> None:
     net = Net()
     client = net.client()
