System calls: socket, bind, listen, close, shutdown, epoll_ctl and short reads and writes may fail too

Seen, with the program as deploy/balancer.toml starts it and each call failing for some seconds: - epoll_ctl (ENOMEM, ENOSPC): "RollBack failed", a client without its answer: the library lets the error through to whoever was about to write. net/poller.py keeps what the system refuses to register and registers it at the next polls. - listen (ENOBUFS) ended nothing and served nothing: no error of that kind was expected. Tried again like the others. - a trace in the log held a client's command, with its key: loguru prints the values of variables by default.

--- a/ternquay/hosted/logs.py
+++ b/ternquay/hosted/logs.py
@@ -32,7 +32,8 @@
 def begin(json: bool, level: str, out: TextIO = sys.stderr) -> None:
     logger.remove()
     if not json:
-        logger.add(out, format="{time:HH:mm:ss.SSS} {level} {message}", level=level)
+        # Without the values of variables in a traceback: keys and values would be among them.
+        logger.add(out, format="{time:HH:mm:ss.SSS} {level} {message}", level=level, backtrace=False, diagnose=False)
         return
 
     def told(message: Any) -> None:
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -28,6 +28,7 @@
 from ternquay.net.listener import Listener
 from ternquay.net.listing import Address
 from ternquay.net.management import ManagementPort
+from ternquay.net.poller import RetryingPoller
 from ternquay.net.pool import Pool
 from ternquay.net.sockets import Sockets
 from ternquay.net.start_times import StartTimes
@@ -45,6 +46,10 @@
 
     seconds = staticmethod(time.monotonic)
 
+    def __init__(self) -> None:
+        super().__init__()
+        self._poller = RetryingPoller(self._poller)
+
     def mark_turns(self, turn: Turn) -> None:
         """Has the begin of each turn told; the library has no place for it but its poller."""
         self._poller = MarkedPoll(self._poller, time.monotonic_ns, turn.begins)
@@ -115,13 +120,17 @@
             return
         try:
             self._open(self.reactor.listenTCP(where.port, self.front, self.limits.backlog, where.host))
-        except CannotListenError as fault:
-            if fault.socketError.errno in NOT_OURS or self.reactor.seconds() > self.listen_until:
-                self.fault = LaunchError(f"listen: {where}: {fault.socketError}")
-                self.reactor.stop()
-                return
-            self.door.tell("WARNING", "can't listen yet: {}", fault.socketError.strerror)
-            self.reactor.callLater(LISTEN_AGAIN, self._listen)
+        except (CannotListenError, OSError) as fault:
+            self._not_listening(fault.socketError if isinstance(fault, CannotListenError) else fault)
+
+    def _not_listening(self, fault: OSError) -> None:
+        """Tries again, unless the address is at fault, or it has been tried for long."""
+        if fault.errno in NOT_OURS or self.reactor.seconds() > self.listen_until:
+            self.fault = LaunchError(f"listen: {self.launch.listen}: {fault}")
+            self.reactor.stop()
+            return
+        self.door.tell("WARNING", "can't listen yet: {}", fault.strerror)
+        self.reactor.callLater(LISTEN_AGAIN, self._listen)
 
     def _open(self, port: Any) -> None:
         if self.ending:
@@ -286,7 +295,9 @@
     """Serves until it is told to end; other decisions than the product's are for comparisons."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to read again: never an end
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO")
+    # Without the values of variables in a traceback: keys and values would be among them.
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
+               diagnose=False)
     library_log.begin()
     reactor = MonotonicReactor()
     installReactor(reactor)
--- a/ternquay/net/transports.py
+++ b/ternquay/net/transports.py
@@ -9,7 +9,7 @@
 from twisted.internet.tcp import Client, Connector, Server
 
 REFUSED_MOST = 2  # times in a row; once is the ordinary word that the socket's buffer is full
-PAUSE = 0.005  # seconds
+PAUSE = 0.01  # seconds
 
 
 class _Patient:
@@ -20,10 +20,12 @@
 
     def writeSomeData(self: Any, data: Any) -> Any:
         taken = super().writeSomeData(data)  # type: ignore[misc]
+        if not isinstance(taken, int):
+            return taken  # why the connection is lost
         if taken > 0:
             self.refused = 0
             self.taken += taken
-        elif taken == 0 and data:
+        elif data:
             self.refused += 1
             if self.refused > REFUSED_MOST:
                 self.refused = 0
--- a/ternquay/rig/interpose/sitecustomize.py
+++ b/ternquay/rig/interpose/sitecustomize.py
@@ -7,15 +7,20 @@
 """
 
 import os
+import select
 import socket
 import time
+from collections.abc import Callable
 from errno import errorcode
 from random import Random
+from typing import Any
 
 PLAN, LOG = "TERNQUAY_CALL_PLAN", "TERNQUAY_CALL_LOG"
 BEGAN = time.monotonic()
 DRAW = Random(os.environ.get("TERNQUAY_CALL_SEED", "0"))
 SECOND = 1_000_000_000
+SHORT = -1  # in the place of an error: fewer bytes are read or written than could be
+FEW = 7  # bytes of those, at most
 
 
 class CallFault:
@@ -49,20 +54,80 @@
         return self.time_ns() / SECOND
 
 
-def interpose(call: str, faults: "list[CallFault]", log: int) -> None:
-    """Puts a function before that call of a socket which fails when one of the faults strikes."""
-    real = getattr(socket.socket, call)
+def failing(call: str, faults: "list[CallFault]", log: int) -> "Callable[[], int]":
+    """Tells the error with which the call fails this time, 0 for none, and writes down that it did."""
 
-    def failing(self: socket.socket, *terms: object) -> object:
+    def error() -> int:
         for fault in faults:
             if fault.strikes():
-                os.write(log, b"%s %s\n" % (call.encode(), errorcode[fault.error].encode()))
-                if call == "connect_ex":
-                    return fault.error
-                raise OSError(fault.error, os.strerror(fault.error))
-        return real(self, *terms)
+                name = errorcode.get(fault.error, "SHORT")
+                os.write(log, b"%s %s\n" % (call.encode(), name.encode()))
+                return fault.error
+        return 0
+
+    return error
+
+
+def interpose(call: str, error: "Callable[[], int]") -> None:
+    """Puts a function before that call of a socket which fails as `error` tells."""
+    real = getattr(socket.socket, call)
+
+    def put_before(self: socket.socket, *terms: Any) -> Any:
+        found = error()
+        if not found:
+            return real(self, *terms)
+        if found == SHORT:
+            return shortened(real, self, *terms)
+        if call == "connect_ex":
+            return found
+        raise OSError(found, os.strerror(found))
+
+    setattr(socket.socket, call, put_before)
+
+
+def shortened(real: "Callable[..., Any]", self: socket.socket, what: Any, *terms: Any) -> Any:
+    """Reads, or writes, a few of the bytes that it could."""
+    most = DRAW.randint(1, FEW)
+    return real(self, min(what, most) if isinstance(what, int) else what[:most], *terms)
+
+
+def interpose_socket(error: "Callable[[], int]") -> None:
+    """The making of a socket; one that is made of a descriptor, as by accept(), is no such call."""
+    real = socket.socket.__init__
+
+    def made(self: socket.socket, *terms: Any, **named: Any) -> None:
+        found = error() if named.get("fileno") is None and len(terms) < 4 else 0
+        if found:
+            raise OSError(found, os.strerror(found))
+        real(self, *terms, **named)
+
+    setattr(socket.socket, "__init__", made)  # noqa: B010, as the checker forbids the assignment
+
+
+class FailingEpoll:
+    """An epoll object whose registrations may fail."""
+
+    def __init__(self, real: Any, error: "Callable[[], int]") -> None:
+        self.real, self.error = real, error
+        self.unregister, self.poll, self.close, self.fileno = real.unregister, real.poll, real.close, real.fileno
+
+    def register(self, *terms: int) -> None:
+        self._may_fail()
+        self.real.register(*terms)
+
+    def modify(self, *terms: int) -> None:
+        self._may_fail()
+        self.real.modify(*terms)
+
+    def _may_fail(self) -> None:
+        found = self.error()
+        if found:
+            raise OSError(found, os.strerror(found))
+
 
-    setattr(socket.socket, call, failing)
+def interpose_epoll(error: "Callable[[], int]") -> None:
+    real = select.epoll
+    setattr(select, "epoll", lambda *terms: FailingEpoll(real(*terms), error))  # noqa: B010
 
 
 def begin() -> None:
@@ -80,7 +145,13 @@
     if clock.steps:
         time.time_ns, time.time = clock.time_ns, clock.time
     for call in sorted({fault.call for fault in faults}):
-        interpose(call, [fault for fault in faults if fault.call == call], log)
+        error = failing(call, [fault for fault in faults if fault.call == call], log)
+        if call == "socket":
+            interpose_socket(error)
+        elif call == "epoll_ctl":
+            interpose_epoll(error)
+        else:
+            interpose(call, error)
 
 
 if PLAN in os.environ:
--- a/ternquay/rig/system_calls.py
+++ b/ternquay/rig/system_calls.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from ternquay.rig.terms import CallFault, ClockStep, DayError, Terms, call_fault, read_toml
+from ternquay.rig.terms import SHORT, CallFault, ClockStep, DayError, Terms, call_fault, read_toml
 
 INTERPOSE = Path(__file__).parent / "interpose"
 CLOCK = "clock STEP"  # how a step that was seen is counted
@@ -45,7 +45,7 @@
 
 def prepared(plan: CallPlan, folder: Path, name: str = "call", path: str = "") -> dict[str, str]:
     """The environment of a process that fares by that plan; `path` is where its program is found, if not by ours."""
-    lines = [f"{one.call} {getattr(errno, one.error)} {one.start} {one.end} {one.rate}\n"
+    lines = [f"{one.call} {-1 if one.error == SHORT else getattr(errno, one.error)} {one.start} {one.end} {one.rate}\n"
              for one in checked(plan, "the plan").faults]
     lines += [f"clock {one.at} {one.by}\n" for one in plan.steps]
     plan_file, log = folder / f"{name}-plan", folder / f"{name}-log"
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -184,7 +184,9 @@
     ms: Millis = 0
 
 
-Call = Literal["accept", "connect_ex", "send", "recv", "setsockopt", "shutdown"]
+Call = Literal["accept", "socket", "bind", "listen", "connect_ex", "send", "recv", "setsockopt", "shutdown", "close",
+               "epoll_ctl"]
+SHORT = "SHORT"  # in the place of an error: fewer bytes are read or written than could be
 
 
 class CallFault(Terms, frozen=True):
@@ -286,7 +288,9 @@
 def call_fault(calls: tuple[CallFault, ...], where: str) -> str:
     """What is wrong with failing calls beyond the types of their fields, or nothing."""
     for i, one in enumerate(calls):
-        if one.error not in errno.errorcode.values():
+        if one.error == SHORT and one.call not in ("send", "recv"):
+            return f"{where}[{i}].error: {SHORT} is for send and recv"
+        if one.error != SHORT and one.error not in errno.errorcode.values():
             return f"{where}[{i}].error: no error is called {one.error:.40}"
         if not 0 <= one.start < one.end:
             return f"{where}[{i}].end: {one.end} is not after the start"
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,5 +1,6 @@
 """System calls that fail, in the program as it is started: rig/system_calls.py makes them."""
 
+import errno
 import os
 import socket
 import subprocess
@@ -17,6 +18,7 @@
 from twisted.python.failure import Failure
 
 from ternquay.net.library_log import LibraryLog
+from ternquay.net.poller import RetryingPoller
 from ternquay.rig.system_calls import CallPlan, prepared, read_plan, struck
 from ternquay.rig.terms import CallFault, DayError
 from tests.helper import member
@@ -118,13 +120,64 @@
         assert asked(one.port, 2).startswith((b"VA 9 O2", b"SERVER_ERROR busy"))
 
 
-@pytest.mark.parametrize("error", ["EINVAL", "ENOBUFS", "ENOMEM"])
-def test_a_listening_socket_that_can_not_be_made_for_a_moment_is_made_later(tmp_path: Path, error: str) -> None:
-    with running(tmp_path, CallFault("setsockopt", error, end=1.5)) as one:
+@pytest.mark.parametrize(("call", "error"), [
+    ("setsockopt", "EINVAL"), ("setsockopt", "ENOBUFS"), ("bind", "ENOMEM"), ("listen", "ENOBUFS"),
+    ("socket", "EMFILE")])
+def test_a_listening_socket_that_can_not_be_made_for_a_moment_is_made_later(
+        tmp_path: Path, call: str, error: str) -> None:
+    with running(tmp_path, CallFault(call, error, end=1.5)) as one:  # type: ignore[arg-type]
         assert asked(one.port).startswith((b"VA 9", b"SERVER_ERROR busy"))
         assert "can't listen yet" in one.log() and "Traceback" not in one.log()
 
 
+class Refusing:
+    """An epoll object that takes nothing while it is full."""
+
+    def __init__(self) -> None:
+        self.full, self.known, self.waited = True, dict[int, int](), 0.0
+
+    def register(self, descriptor: int, events: int) -> None:
+        if self.full:
+            raise OSError(errno.ENOSPC, "full")
+        self.known[descriptor] = events
+
+    modify = register
+
+    def unregister(self, descriptor: int) -> None:
+        del self.known[descriptor]
+
+    def poll(self, timeout: float, most: int = -1) -> list[tuple[int, int]]:
+        self.waited = timeout
+        return []
+
+    def close(self) -> None:
+        pass
+
+
+def test_what_the_system_does_not_register_is_registered_once_it_can() -> None:
+    real = Refusing()
+    poller = RetryingPoller(real)
+    poller.register(3, 1)
+    poller.modify(3, 5)
+    poller.register(4, 1)
+    poller.unregister(4)  # closed before the system ever knew it
+    poller.poll(-1.0)
+    assert real.known == {} and 0 < real.waited < 0.1
+    real.full = False
+    poller.poll(-1.0)
+    assert real.known == {3: 5}
+    real.full = True
+    poller.modify(3, 7)
+    poller.poll(0.001)
+    assert real.known == {3: 5} and real.waited == 0.001
+    real.full = False
+    poller.poll(2.0)
+    poller.poll(2.0)
+    assert real.known == {3: 7} and real.waited == 2.0
+    poller.unregister(3)
+    assert real.known == {}
+
+
 def test_an_error_that_the_library_has_dealt_with_is_one_warning(capsys: pytest.CaptureFixture[str]) -> None:
     logger.remove()
     logger.add(sys.stderr, format="{level} {message}")
@@ -153,7 +206,8 @@
 @pytest.mark.parametrize(("call", "error"), [
     ("setsockopt", "ENOBUFS"), ("connect_ex", "ENETUNREACH"), ("connect_ex", "ENOBUFS"),
     ("connect_ex", "ETIMEDOUT"), ("recv", "ETIMEDOUT"), ("recv", "EHOSTUNREACH"), ("send", "ENOBUFS"),
-    ("send", "EHOSTUNREACH")])
+    ("send", "EHOSTUNREACH"), ("send", "SHORT"), ("recv", "SHORT"), ("socket", "EMFILE"), ("socket", "ENOBUFS"),
+    ("close", "EIO"), ("shutdown", "ENOTCONN"), ("epoll_ctl", "ENOMEM"), ("epoll_ctl", "ENOSPC")])
 def test_calls_on_a_connection_that_fail_for_a_while_end_nothing_else(tmp_path: Path, call: str, error: str) -> None:
     with running(tmp_path, CallFault(call, error, end=2.0, rate=0.3)) as one:  # type: ignore[arg-type]
         over = time.monotonic() + 2.0
@@ -162,7 +216,7 @@
         assert struck(tmp_path)[f"{call} {error}"] > 0
         time.sleep(max(0.0, over - time.monotonic()))  # no call fails any more
         assert asked(one.port, 100).startswith((b"VA 9 O100", b"SERVER_ERROR busy"))
-        assert "Traceback" not in one.log() and one.process.poll() is None, one.log()
+        assert "Traceback" not in one.log() and "k9" not in one.log() and one.process.poll() is None, one.log()
 
 
 @pytest.mark.parametrize(("text", "named"), [
