--- a/ternquay/rig/soak.py
+++ b/ternquay/rig/soak.py
@@ -21,7 +21,7 @@
 from ternquay.rig.play import play
 from ternquay.rig.results import write_result
 from ternquay.rig.system_calls import struck
-from ternquay.rig.terms import BALANCER_FAULTS, Call, CallFault, ClockStep, Day, Fault, FaultKind
+from ternquay.rig.terms import BALANCER_FAULTS, SHORT, Call, CallFault, ClockStep, Day, Fault, FaultKind
 
 QUIET = 0.05  # of the day at its start, and at its end, in which no fault begins or ends
 LOADS = 2
@@ -76,8 +76,14 @@
 CALL_ERRORS: dict[Call, tuple[str, ...]] = {
     "accept": ("ECONNABORTED", "EPROTO", "ENETDOWN", "EPERM", "EINTR", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
     "connect_ex": ("ENETUNREACH", "EHOSTUNREACH", "ETIMEDOUT", "ENOBUFS", "EADDRNOTAVAIL", "ECONNREFUSED"),
+    "socket": ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
     "setsockopt": ("ENOBUFS", "EINVAL", "ENOMEM"),
-    "send": ("ENOBUFS",),
+    "send": ("ENOBUFS", SHORT),
+    "recv": (SHORT,),
+    "epoll_ctl": ("ENOMEM", "ENOSPC"),
+    "close": ("EIO", "EINTR"),
+    "bind": ("ENOMEM",),
+    "listen": ("ENOBUFS",),
 }
 CALL_RATES = (0.02, 0.2, 1.0)
 STEPS = (-3600.0, -5.0, -0.5, 0.5, 5.0, 3600.0)  # seconds by which the wall clock is set
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,12 +1,13 @@
 """The wall clock is stepped, and no young cache host looks old for it, nor do all seem to have started anew."""
 
+from collections.abc import Sequence
 from dataclasses import replace
 
 import pytest
 
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.listing import Member, read_list
-from ternquay.net.start_times import DIFFERENCES, StartTimes
+from ternquay.net.start_times import ABSENT_MOST, DIFFERENCES, LATE, StartTimes
 from tests.helper import Net, member
 
 HOUR = 3600 * SECOND
@@ -20,7 +21,7 @@
         self.now, self.wall = 1000 * SECOND, WALL
         self.times = StartTimes(lambda: self.wall)
 
-    def dated(self, *starts: int, whole: bool = False, names: str = "abcdef") -> list[int]:
+    def dated(self, *starts: int, whole: bool = False, names: Sequence[str] = "abcdef") -> list[int]:
         """How old, in seconds, hosts are taken for whose starts are told in Unix time."""
         line = read_list({"revision": 1, "complete": True, "members": [member(1)]}, 0)[2][0]
         members: tuple[Member, ...] = tuple(replace(line, id=name, since=start)
@@ -54,6 +55,40 @@
     assert clocks.dated(told)[0] <= 2
 
 
+@pytest.mark.parametrize("wrong", [-HOUR, HOUR, -30 * SECOND])
+def test_a_host_is_no_older_than_the_list_that_lacks_it(wrong: int) -> None:
+    """Also where only the clock of whoever makes the list was set back, or was wrong from the start."""
+    clocks = Clocks()
+    clocks.dated(0)  # the list that the process starts with
+    clocks.now += 3 * SECOND
+    clocks.dated(0)  # the first that it is told
+    clocks.now += 4 * SECOND
+    told = clocks.told(2) + wrong
+    assert 0 <= clocks.dated(told, names="x")[0] <= 4 + LATE // SECOND
+    clocks.now += 60 * SECOND
+    clocks.dated(told, names="x")
+    clocks.now += 1 * SECOND
+    again = clocks.told(1) + wrong  # the same host, started anew
+    assert 0 <= clocks.dated(again, names="x")[0] <= 1 + LATE // SECOND
+
+
+def test_a_host_that_a_list_lost_for_a_while_is_as_old_as_before() -> None:
+    clocks = Clocks()
+    starts = [clocks.told(100), clocks.told(90)]
+    for _ in range(3):
+        clocks.dated(*starts, whole=True)
+    clocks.dated(starts[0], whole=True)
+    clocks.now += 7 * SECOND
+    assert clocks.dated(*starts, whole=True) == [107, 97]
+
+
+def test_hosts_that_are_lost_for_good_are_forgotten_in_the_end() -> None:
+    clocks = Clocks()
+    for number in range(3 * ABSENT_MOST):
+        clocks.dated(clocks.told(9), whole=True, names=[f"h{number}"])
+    assert len(clocks.times.absent) == ABSENT_MOST and len(clocks.times.known) == 1
+
+
 def test_a_step_is_no_restart_of_the_hosts_that_are_known() -> None:
     clocks = Clocks()
     starts = [clocks.told(100), clocks.told(5)]
