--- a/ternquay/rig/play.py
+++ b/ternquay/rig/play.py
@@ -41,6 +41,7 @@
 )
 
 READY_WITHIN = 20.0
+TRACE = "Traceback"
 SAMPLE_EVERY = SECOND // 4
 TURN = 0.01
 TRIES = 3  # ports may be taken between the moment we find them free and the moment a balancer listens
@@ -198,6 +199,12 @@
         except OSError as fault:
             raise PlayError(f"{self.name} ended: {self.last_words()}") from fault
 
+    def check_log(self) -> None:
+        """Raises PlayError for an exception of the rig itself: what it did not do, the day did not have."""
+        text = self.log.read_text(errors="replace")
+        if TRACE in text:
+            raise PlayError(f"{self.name}: an exception in its log: {text.strip().splitlines()[-1][:200]}")
+
     def last_words(self) -> str:
         lines = self.log.read_text(errors="replace").strip().splitlines()
         return lines[-1][:300] if lines else f"exit {self.process.poll()}"
@@ -425,8 +432,8 @@
         raise PlayError(f"{day.name}: has tenants; rig play and rig neighbours play such a day")
     if shards > 1 and not may_shard(day):
         raise PlayError(f"{day.name}: with writes or faults its cache hosts can't be in several processes")
-    shutil.rmtree(out / "logs", ignore_errors=True)
     for last in (False,) * (TRIES - 1) + (True,):
+        shutil.rmtree(out / "logs", ignore_errors=True)
         try:
             with staged(out) as stage:
                 return _play(stage, day, seed, contender, (shards, loads), progress)
@@ -470,6 +477,8 @@
         running.say(f"begin {begin}\n")
     events = balancer_events(planned(day, seed), balancers, [second for _, second in told["discovery"]])
     follow(day, begin, events, balancers, children, progress)
+    for running in children:
+        running.check_log()
     return gathered(stage, day, seed, begin, balancers, [one.name for one in standins], loads)
 
 
--- a/ternquay/rig/standins/discovery.py
+++ b/ternquay/rig/standins/discovery.py
@@ -108,7 +108,7 @@
 
     def _fail(self, call: Any) -> None:
         if call.channel is not None and call.channel.transport is not None:
-            call.channel.abortConnection()
+            call.channel.transport.abortConnection()
 
     def asked(self, call: Request, balancer: int) -> Any:
         listing, now = self.listing(), self.now()
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -36,8 +36,8 @@
 DAYS = {"calm", "slow-origin", "silent-host", "crash-fifth", "rolling-release", "hot-key", "burst", "discovery-down",
         "stale-list", "garbling", "resets", "balancer-killed", "planned-restarts", "reload", "all-together", "tenants",
         "tenants-changes", "tenants-shared-cold", "two-shapes", "drain-silent",
-        "agree-crash", "agree-partition", "agree-slow", "agree-restart",
-}
+        "agree-crash", "agree-partition", "agree-slow", "agree-restart", "clock-steps",
+        "system-calls"}
 
 
 def rig(*words: str) -> tuple[int, str]:
@@ -166,8 +166,9 @@
 
 PLAYS: list[tuple[str, list[str]]] = [
     ("crash-fifth", ["--seconds", "3"]), ("garbling", ["--seconds", "3", "--decisions", "bounded-load"]),
-    ("planned-restarts", ["--seconds", "4"]),
+    ("planned-restarts", ["--seconds", "4"]), ("clock-steps", ["--seconds", "8"]), ("system-calls", ["--seconds", "8"]),
 ]
+STRUCK = {"clock-steps": 1, "system-calls": 100}  # calls that failed, and steps that were seen, at least
 
 
 def played(out: Path, *words: str) -> tuple[int, dict[str, Any]]:
@@ -187,6 +188,7 @@
     assert result["rules"] == {"lost": 0, "twice": 0, "drains": 0, "cold": 0, "wrong": 0, "stopped": 0}
     assert result["crashes"] == 0 and result["txs"] > 100
     assert result["committed"] > 0.6 * result["txs"]
+    assert sum(result["struck"].values()) >= STRUCK.get(day, 0)
     assert result["txs"] == result["committed"] + result["rolled_back"] + result["abandoned"]
     assert {"service", "latency_ms", "hops_per_tx", "hit_share", "origin", "balancers", "late", "seed"} <= set(result)
     page = (tmp_path / "out" / "report.html").read_text()
