As many clients that stand still lose their places as wait, after 0.1 s

Change: the listening socket is asked how many wait (TCP_INFO); as many lose their places, the longest without a byte first, once they have stood still for 0.1 s.

--- a/ternquay/net/eviction.py
+++ b/ternquay/net/eviction.py
@@ -1,8 +1,9 @@
 """Whose places are given up for clients that wait to be accepted while all places are taken.
 
-A client that waits has been let in by the system, and what it writes is owed an answer. Those that stand still lose
-their places first to last: who has had an answer and is idle, who has written nothing, who stopped in a request. None
-that is owed an answer does, and none on which bytes lie unread. Times are whole nanoseconds.
+A client that waits has been let in by the system, and what it writes is owed an answer. As many as wait lose their
+places of those that stand still: first who has had an answer and is idle, or has written nothing, then who stopped in a
+request, the longest first. None that is owed an answer does, and none on which bytes lie unread. Times are whole
+nanoseconds.
 """
 
 from collections.abc import Iterator
@@ -17,8 +18,9 @@
     from ternquay.net.front import Front
 
 INTERVAL = 50 * MS  # between two looks while all places are taken
-SILENT = 250 * MS  # since it was accepted, without a byte: a true client writes as it connects
-STOPPED = 500 * MS  # without another byte of a request that has begun
+# Who waits may have a few hundred milliseconds left, so the least of these is no more than a part of that.
+SILENT = 100 * MS  # since it was accepted, without a byte: a true client writes as it connects
+STOPPED = 100 * MS  # without another byte of a request that has begun
 
 
 def evict(front: "Front", most: int) -> int:
@@ -31,7 +33,8 @@
     for client in [one for one in front.resting if one.answered or now - one.moved >= SILENT]:
         if client in front.resting and front.close_resting(client):
             yield client
-    for client in [one for one in front.unfinished if _stopped(one, now)]:
+    stopped = [one for one in front.unfinished if _stopped(one, now)]
+    for client in sorted(stopped, key=lambda one: one.deadline.last):
         # The end of one may set off that of another.
         if client in front.unfinished and not client.lies_unread():
             client.end_request(CloseReason.STOPPED)
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -35,7 +35,7 @@
         self.spared = 0  # how long one that has said nothing yet is left while they leave
         self.hello = meta.HELLO  # what an `mn` is answered with
         self.gate: Callable[[bool], None] = lambda accept: None
-        self.someone_waits: Callable[[], bool] = lambda: False  # to be accepted
+        self.waiting: Callable[[], int] = lambda: 0  # how many clients wait to be accepted
         self.admission: Call | None = None  # the next look for places for those
         sockets.shed_client, sockets.has_room = self.shed, self.has_room
 
@@ -62,8 +62,7 @@
         if not self.held_up:
             return
         self.admission = self.door.later(self.door.now() + INTERVAL, self._admit)
-        if self.someone_waits():
-            evict(self, max(self.limits.accepts, self.limits.clients // 4))
+        evict(self, self.waiting())
 
     def room(self) -> int:
         """How many clients may be accepted at once without passing the limit on sockets."""
--- a/ternquay/net/listener.py
+++ b/ternquay/net/listener.py
@@ -24,7 +24,8 @@
     errorcode,
 )
 from select import POLLIN, poll
-from socket import NI_NUMERICHOST, NI_NUMERICSERV, getnameinfo
+from socket import IPPROTO_TCP, NI_NUMERICHOST, NI_NUMERICSERV, TCP_INFO, getnameinfo
+from struct import Struct
 from typing import Any
 
 from loguru import logger
@@ -37,6 +38,8 @@
                                ENOPROTOOPT, EOPNOTSUPP, EPERM, EPROTO, ETIMEDOUT})
 # Seconds without accepting after any other error: doubled by each that follows before a connection was accepted.
 PAUSE_LEAST, PAUSE_MOST = 0.002, 0.064
+ACCEPT_QUEUE = Struct("=24xI")  # of the kernel's tcp_info: of a listening socket, what waits (tcpi_unacked)
+SOME = 16  # is taken for their number where the system does not tell it
 FAILED_MOST = 16  # connections that may fail one after the other, before there is a pause all the same
 
 
@@ -64,11 +67,17 @@
         else:
             self.stopReading()
 
-    def someone_waits(self) -> bool:
-        """Whether a connection waits to be accepted."""
+    def waiting(self) -> int:
+        """How many connections wait to be accepted; a few where the system tells only that there are some."""
         asked = poll()
         asked.register(self.socket.fileno(), POLLIN)
-        return bool(asked.poll(0))
+        if not asked.poll(0):
+            return 0
+        try:
+            told = self.socket.getsockopt(IPPROTO_TCP, TCP_INFO, ACCEPT_QUEUE.size)
+        except OSError:
+            return SOME
+        return int(ACCEPT_QUEUE.unpack(told)[0]) or SOME if len(told) == ACCEPT_QUEUE.size else SOME
 
     def doRead(self) -> None:
         self.accept()
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -140,7 +140,7 @@
         port.room, port.accepted, port.failed = self.front.room, self.turn.accepted, self.front.shed
         self.front.gate = lambda accept: port.gate(accept and not self.shut)
         if isinstance(port, Listener):
-            self.front.someone_waits = port.someone_waits
+            self.front.waiting = port.waiting
         logger.info("{} serves on {}", self.launch.name, self.launch.listen)
 
     def _beside(self, then: Callable[[], None]) -> None:
@@ -254,7 +254,7 @@
 
     def _close_door(self) -> None:
         self.front.gate = lambda accept: None
-        self.front.someone_waits = lambda: False
+        self.front.waiting = lambda: 0
         port = self.port
         # The other process, if there may be one, has the same queue.
         ours = self.replacement is None and isinstance(port, Listener)
