Hand-over: a lock that the system refuses ends no look at the other process

Cause, found in sweeping the class "a fault in one look ends them all": flock(2) that fails with ENOLCK or EIO raised out of Replacement.look, which armed its next look at the end.

--- a/ternquay/handover/beside.py
+++ b/ternquay/handover/beside.py
@@ -19,27 +19,36 @@
         self.folder = folder
         self.mine = -1
         self.handles = [os.open(folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600) for name in NAMES]
+        self.was_held = False  # the other slot, at the last look that the system answered
         self.told = ""  # what was said last of a note that can't be used
 
     def take(self) -> bool:
         """Takes a free slot, if there is one; it is held as long as the process lives."""
         for number, handle in enumerate(self.handles):
-            with suppress(BlockingIOError):
+            try:
                 fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                self.mine = number
-                self._remove(self._path(number))  # of who had it before
-                return True
+            except BlockingIOError:
+                continue
+            except OSError as fault:
+                self._say(f"a slot can't be locked: {fault}")
+                continue
+            self.mine = number
+            self._remove(self._path(number))  # of who had it before
+            return True
         return False
 
     def other(self) -> bool:
-        """Whether another process holds the other slot."""
+        """Whether another process holds the other slot; where the system can't tell, what it told last."""
         handle = self.handles[1 - self.mine]
         try:
             fcntl.flock(handle, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            fcntl.flock(handle, fcntl.LOCK_UN)
+            self.was_held = False
         except BlockingIOError:
-            return True
-        fcntl.flock(handle, fcntl.LOCK_UN)
-        return False
+            self.was_held = True
+        except OSError as fault:
+            self._say(f"the other slot can't be looked at: {fault}")
+        return self.was_held
 
     def write(self, note: Note) -> None:
         """Whole or not at all: beside, and renamed."""
--- a/ternquay/net/replace.py
+++ b/ternquay/net/replace.py
@@ -80,6 +80,8 @@
     def look(self) -> None:
         if self.over:
             return
+        # Made first, so that a fault in one look does not end them all.
+        self._later(self.look)
         service, now = self.service, self.service.door.now()
         other = self.slots.other()
         if other != self.other:
@@ -104,7 +106,6 @@
             self._tell(now)
         self.other_serves = note is not None and note.serves
         service.met()
-        self._later(self.look)
 
     def _ceiling(self, note: Note | None) -> None:
         sockets, mine = self.service.sockets, self.service.sockets.ceiling
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Two processes of one balancer: notes, slots, the split of limits, and an end at every step."""
 
+import errno
 import fcntl
 import os
 import signal
@@ -281,3 +282,22 @@
     with pytest.raises(BlockingIOError):
         fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
     os.close(handle)
+
+
+def test_locks_that_the_system_refuses_for_a_while_change_nothing_that_is_known(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    first, second = Slots(tmp_path), Slots(tmp_path)
+    assert first.take() and second.take() and first.other()
+
+    def refused(handle: int, what: int) -> None:
+        raise OSError(errno.ENOLCK, "No locks available")
+
+    with monkeypatch.context() as broken:
+        broken.setattr("ternquay.handover.beside.fcntl.flock", refused)
+        assert first.other() and not Slots(tmp_path).take()
+    second.end()
+    assert not first.other()
+    with monkeypatch.context() as broken:
+        broken.setattr("ternquay.handover.beside.fcntl.flock", refused)
+        assert not first.other()
+    first.end()
