--- a/ternquay/hosted/tenants/tenancy.py
+++ b/ternquay/hosted/tenants/tenancy.py
@@ -19,9 +19,10 @@
 from ternquay.net.closing import all_accepted
 from ternquay.net.discovery import Discovery
 from ternquay.net.door import Door, Outgoing
+from ternquay.net.host_connection import HostConnection
 from ternquay.net.limits import SECOND, Limits, fill
 from ternquay.net.listing import Address, Member
-from ternquay.net.pool import HostConnection, Pool
+from ternquay.net.pool import Pool
 from ternquay.net.safety import CloseReason, ServerCloseReason
 from ternquay.net.start_times import StartTimes
 from ternquay.net.turn import Turn
--- a/ternquay/rig/agree.py
+++ b/ternquay/rig/agree.py
@@ -27,9 +27,12 @@
 from ternquay.rig import records
 from ternquay.rig.between import Between
 from ternquay.rig.child import Plan
+from ternquay.rig.configuration import tail_ms
 from ternquay.rig.judge import Breach, judge
 from ternquay.rig.measure import measure, percentile
-from ternquay.rig.play import PlayError, PortTaken, Running, Stage, follow, free_place, staged, tail_ms
+from ternquay.rig.play import follow
+from ternquay.rig.ports import free_place
+from ternquay.rig.processes import PlayError, PortTaken, Running, Stage, staged
 from ternquay.rig.tenants import (
     TRIES,
     Hosted,
--- a/ternquay/rig/byhand.py
+++ b/ternquay/rig/byhand.py
@@ -8,7 +8,7 @@
 from twisted.internet.main import installReactor
 
 from ternquay.rig.child import MonotonicReactor
-from ternquay.rig.play import configuration, host_places
+from ternquay.rig.configuration import configuration, host_places
 from ternquay.rig.standins.discovery import DiscoveryDriver
 from ternquay.rig.standins.hosts import FleetDriver
 from ternquay.rig.terms import MS, Day, planned
--- a/ternquay/rig/commands.py
+++ b/ternquay/rig/commands.py
@@ -15,7 +15,8 @@
 from ternquay.rig.contender import by_decisions, contender
 from ternquay.rig.judge import judge
 from ternquay.rig.measure import measure
-from ternquay.rig.play import PlayError, play, share_cores
+from ternquay.rig.play import play
+from ternquay.rig.processes import PlayError, share_cores
 from ternquay.rig.results import write_result
 from ternquay.rig.saturate import saturate
 from ternquay.rig.survey import Job, against, by_day, survey
--- a/ternquay/rig/size.py
+++ b/ternquay/rig/size.py
@@ -17,8 +17,10 @@
 from ternquay.hosted.administration.caller import Caller, CallFailed, Target
 from ternquay.rig import records
 from ternquay.rig.child import Plan
+from ternquay.rig.configuration import tail_ms
 from ternquay.rig.measure import percentile
-from ternquay.rig.play import PlayError, Stage, free_place, staged, tail_ms
+from ternquay.rig.ports import free_place
+from ternquay.rig.processes import PlayError, Stage, staged
 from ternquay.rig.tenants import ENDS_WITHIN, Hosted, Party, child, cores_for, document, standins
 from ternquay.rig.terms import MS, SECOND, Day, TenantTerms, read_day
 
--- a/ternquay/rig/survey.py
+++ b/ternquay/rig/survey.py
@@ -21,7 +21,7 @@
 
 from ternquay.rig.compare import LATE_AGAIN, figures, verdict
 from ternquay.rig.contender import ROOT
-from ternquay.rig.play import PlayError
+from ternquay.rig.processes import PlayError
 
 BROKEN, LATE = 1, 3
 AGAINST = ("service", "worst_2s", "hit_share", "origin.peak_rate", "latency_ms.p99")
--- a/ternquay/rig/tenants.py
+++ b/ternquay/rig/tenants.py
@@ -21,8 +21,10 @@
 from ternquay.hosted.administration import keys
 from ternquay.hosted.administration.caller import Caller, CallFailed, Target
 from ternquay.rig import records
+from ternquay.rig.balancer_process import Balancer
 from ternquay.rig.changer import ChangePlan, ChangesSaw
 from ternquay.rig.child import Plan
+from ternquay.rig.configuration import tail_ms
 from ternquay.rig.contender import by_decisions
 from ternquay.rig.flood import FloodPlan, FloodSaw
 from ternquay.rig.judge import Breach, judge
@@ -37,7 +39,9 @@
     percentile,
     tries_of,
 )
-from ternquay.rig.play import Balancer, PlayError, PortTaken, Running, Stage, follow, free_place, staged, tail_ms
+from ternquay.rig.play import follow
+from ternquay.rig.ports import free_place
+from ternquay.rig.processes import PlayError, PortTaken, Running, Stage, staged
 from ternquay.rig.terms import MS, Day, TenantTerms
 
 TRIES = 3
--- a/tests/fleet_helper.py
+++ b/tests/fleet_helper.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ternquay.rig.between import Between
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 from tests.hosted_helper import Answer, Hosted, document
 
 KEY = b"0123456789abcdef0123456789abcdef"
--- a/tests/hosted_helper.py
+++ b/tests/hosted_helper.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ternquay.hosted.administration import keys
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 
 ROOT = Path(__file__).parents[1]
 PROFILES = [{"name": "read", "kind": "idempotent", "service_goal_ms": 300, "hard_limit_ms": 900},
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -25,7 +25,7 @@
 
 from ternquay.hosted.administration import keys
 from ternquay.hosted.tenants.registry import Registry
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 from tests.hosted_helper import ROOT, Hosted, descriptors, document
 
 READ = b"mg k%d v Oi%d Pc=read,d=800\r\n"
--- a/tests/test_long_lists.py
+++ b/tests/test_long_lists.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ternquay.net.limits import MIB, fill
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 from tests.helper import FACTS, Net, member
 from tests.test_net import TOLD, mg, va
 
--- a/tests/test_review_links.py
+++ b/tests/test_review_links.py
@@ -19,7 +19,7 @@
 from ternquay import model as m
 from ternquay.balance import MS, Balancer
 from ternquay.net.listing import Address, address
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 from tests.helper import FACTS, Net, Wire, member
 from tests.test_net import mg, ms, va
 
@@ -241,7 +241,7 @@
     for wire in [w for w in net.wires if w.name.startswith("host") and not w.lost]:
         wire.end()
     assert net.sockets.hosts == 0
-    assert all(net.pool.wear.holds(rested * MS, net.door.now()) for rested in (1, 50, 1000, 2900))
+    assert all(net.pool.idle_loss.holds(rested * MS, net.door.now()) for rested in (1, 50, 1000, 2900))
 
 
 # ---- the real process: discovery that does not end its answers, a limit on descriptors ----
--- a/tests/test_review_stops.py
+++ b/tests/test_review_stops.py
@@ -27,7 +27,7 @@
 from ternquay.hosted.store import Store
 from ternquay.hosted.tenants.registry import Make, Registry, Remove, Replace, SetState
 from ternquay.hosted.tenants.tenant import Place, Server, State, TenantLimits
-from ternquay.rig.play import free_place
+from ternquay.rig.ports import free_place
 from tests.hosted_helper import ROOT, Hosted, document
 from tests.test_hosted_parts import SMALL
 from tests.test_registry import tenant
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -26,7 +26,7 @@
 from ternquay.rig.laws.clients import Arrival
 from ternquay.rig.load import Connection, Load
 from ternquay.rig.measure import measure
-from ternquay.rig.play import drawn_from, free_place
+from ternquay.rig.ports import drawn_from, free_place
 from ternquay.rig.standins.reader import CommandReader, Strange
 from ternquay.rig.survey import Job, against, by_day
 from ternquay.rig.terms import MS, SECOND, DayError, day_names, planned, read_day
@@ -245,7 +245,7 @@
             calls.append(address)
             return "{}:{}".format(*taken.getsockname()) if calls.count("127.3.0.1") == 1 else free_place(address)
 
-        monkeypatch.setattr("ternquay.rig.play.free_place", mostly_free)
+        monkeypatch.setattr("ternquay.rig.balancer_process.free_place", mostly_free)
         _, result = played(tmp_path / "out", "calm", "--seconds", "1")
     assert calls.count("127.3.0.1") >= 2 and not any(result["rules"].values()) and result["crashes"] == 0
 
--- a/tests/test_rig_tenants.py
+++ b/tests/test_rig_tenants.py
@@ -13,7 +13,8 @@
 from ternquay.rig.contender import by_decisions
 from ternquay.rig.flood import Flood, Flooder, FloodPlan
 from ternquay.rig.neighbours import lines, of_shape
-from ternquay.rig.play import PlayError, play
+from ternquay.rig.play import play
+from ternquay.rig.processes import PlayError
 from ternquay.rig.tenants import change_figures, day_of, document, parties
 from ternquay.rig.terms import MS, DayError, read_day, with_flood
 
