--- /dev/null
+++ b/tests/test_disk_faults.py
@@ -0,0 +1,103 @@
+"""A folder that fails for a while under the hosted service: what was acknowledged is there, all else whole or not."""
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from ternquay.rig.disk_faults import DiskFault, prepared, struck
+from ternquay.rig.terms import DayError
+from tests.hosted_helper import ROOT, Hosted
+from tests.test_hosted import READ, Host
+
+STATE = "/v1/tenants/sur/state"
+STATES = ("suspended", "active")
+FAILS = 2.5  # seconds from the start of the process; until then the tenant is taken in
+LASTS = 2.0
+
+
+class FailingDisk(Hosted):
+    """A hosted service whose store lies in a folder that fails by a plan; started again it fails no more."""
+
+    def __init__(self, folder: Path, *faults: DiskFault) -> None:
+        super().__init__(folder)
+        self.store, self.scratch = folder / "store", folder / "scratch"
+        self.store.mkdir()
+        self.scratch.mkdir()
+        self.text = self.text.replace('path = "registry.db"', 'path = "store/registry.db"')
+        self.file.write_text(self.text)
+        self.faults = faults
+        self.began = 0.0
+
+    def launch(self) -> None:
+        environment = prepared(self.faults, self.store, self.scratch)
+        self.began = time.monotonic()
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([sys.executable, *self.command(), "host", "--config", str(self.file)],
+                                            cwd=ROOT, stderr=log, env=environment)
+
+
+def change(one: Hosted, state: str) -> int:
+    """The version that was acknowledged, 0 for none."""
+    found = one.call("PUT", STATE, {"state": state}, if_match="*")
+    assert found.status in (200, 503, 504, 507), (found.status, found.body)
+    if found.status != 200:
+        assert found.body["detail" if "detail" in found.body else "title"]  # a reason
+    return int(found.body["version"]) if found.status == 200 else 0
+
+
+@pytest.mark.parametrize("faults", [
+    (DiskFault("write", "ENOSPC", FAILS, FAILS + LASTS),),
+    (DiskFault("write", "SHORT", FAILS, FAILS + LASTS, 0.5),),
+    (DiskFault("fsync", "EIO", FAILS, FAILS + LASTS),),
+    (DiskFault("fsync", "EIO", FAILS, FAILS + LASTS, 0.3), DiskFault("write", "EDQUOT", FAILS, FAILS + LASTS, 0.1)),
+    (DiskFault("open", "EROFS", FAILS, FAILS + LASTS), DiskFault("write", "EROFS", FAILS, FAILS + LASTS)),
+], ids=["full", "short writes", "no sync", "now and then", "read-only"])
+def test_a_disk_that_fails_for_a_while_refuses_changes_and_loses_none(
+        tmp_path: Path, faults: tuple[DiskFault, ...]) -> None:
+    for_good = all(fault.rate == 1.0 for fault in faults)
+    host = Host()
+    one = FailingDisk(tmp_path, *faults)
+    one.start()
+    port = one.make("sur", (host.place,))
+    acknowledged, asked, refused, states = 1, 0, 0, {1: "active"}
+    try:
+        while time.monotonic() < one.began + FAILS + LASTS:
+            state, began = STATES[asked % 2], time.monotonic() - one.began
+            version, asked = change(one, state), asked + 1
+            ended = time.monotonic() - one.began
+            if version:
+                assert version > acknowledged
+                # Nothing can be on the disk while every call fails.
+                assert not (for_good and FAILS + 0.1 < began and ended < FAILS + LASTS - 0.1), (version, began)
+                acknowledged = version
+                states[version] = state
+            refused += not version
+            # Transactions go on by what is in force, whatever the disk does.
+            assert one.ask(port, READ % (1, 1), 0.3).startswith((b"VA 2", b"SERVER_ERROR busy"))
+        end = time.monotonic() + 10
+        while not (version := change(one, "active")):
+            assert time.monotonic() < end, one.log.read_text()[-2000:]
+            time.sleep(0.1)
+        acknowledged, states[version] = version, "active"
+        assert one.ask(port, READ % (1, 2), 0.5).startswith(b"VA 2")
+        log = one.log.read_text()
+        assert struck(one.scratch).total() > 0 and "Traceback" not in log
+        one.kill()
+        one.faults = ()
+        one.start()
+        found = one.call("GET", "/v1/tenants/sur").body
+        assert found["version"] == acknowledged and found["state"] == states[acknowledged]
+    finally:
+        if one.process is not None and one.process.poll() is None:
+            one.kill()
+
+
+@pytest.mark.parametrize(("fault", "named"), [
+    (DiskFault("open", "SHORT"), "faults[0].error"), (DiskFault("fsync", "EX"), "faults[0].error"),
+    (DiskFault("write", "EIO", 2.0, 1.0), "faults[0].end")])
+def test_a_plan_that_can_not_be_used_is_named(tmp_path: Path, fault: DiskFault, named: str) -> None:
+    with pytest.raises(DayError, match=named.replace("[", r"\[")):
+        prepared((fault,), tmp_path, tmp_path)
