Hosted service: a change whose sync failed counts once it was written anew

Cause: Store._is_there opens the file again after a COMMIT that failed, and believed the version that it read there. Where fsync(2) failed, what is read comes from the system's cache, and the next sync says nothing of it. Change: when the file is opened again the log is written into the database and that is synced (wal_checkpoint TRUNCATE), or it is not open.

--- a/ternquay/hosted/store.py
+++ b/ternquay/hosted/store.py
@@ -131,6 +131,7 @@
                 self.close()
                 self.db = self._connected()
                 self._open(self.db)
+                self._rewrite(self.db)
                 self.lost = False
             return self.db
         except sqlite3.Error as fault:
@@ -155,6 +156,13 @@
         if found != FORMAT:
             raise StoreError(f"{self.path}: is of format {found}, this program reads {FORMAT}")
 
+    def _rewrite(self, db: sqlite3.Connection) -> None:
+        """Writes what the log holds into the database, and syncs that: after a sync that failed nothing of the log
+        counts as on disk, though it can be read. Raises StoreError."""
+        busy, _, _ = db.execute("PRAGMA wal_checkpoint(TRUNCATE)").fetchone()
+        if busy:
+            raise StoreError(f"{self.path}: the log could not be written into the database")
+
     def _meta(self, db: sqlite3.Connection, name: str) -> int:
         row = db.execute("SELECT value FROM meta WHERE name = ?", (name,)).fetchone()
         return int(row[0])
