--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -71,7 +71,7 @@
             if version:
                 assert version > acknowledged
                 # Nothing can be on the disk while every call fails.
-                assert not (for_good and FAILS + 0.1 < began and ended < FAILS + LASTS - 0.1), (version, began)
+                assert not (for_good and began > FAILS + 0.1 and ended < FAILS + LASTS - 0.1), (version, began)
                 acknowledged = version
                 states[version] = state
             refused += not version
