Late reads: what comes right behind counts as old; who was kept from writing may go on

Change: what is read within 0.1 s of a late read is as old as that one; a client that has written 16 KiB by then has 0.5 s to go on. A connection that is one too many is closed 20 ms after its answer, if it still rests; the trace net_full shows it (21 ms in place of 0), and a new test that a second request in that time has its answer.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -21,6 +21,9 @@
 
 OVERDUE = b"CLIENT_ERROR request was not whole in time"
 UNREAD_NOTICED = 100 * MS  # bytes that waited no longer than this to be read count as read when they came
+CATCH_UP = 100 * MS  # from the first late read on, what is read counts as having waited like the first
+BLOCKED = 16 << 10  # bytes read at once: a client that wrote as much may have been kept from writing more
+GO_ON = 500 * MS  # for such a one to write more
 
 
 class Owed:
@@ -88,7 +91,8 @@
         self.made = 0  # when it came
         self.turn = 0  # in which it was accepted
         self.since = 0  # since when its first bytes may have waited, until they are read
-        self.behind_since = 0  # since when bytes may lie unread that are being read now; 0: what comes is read at once
+        self.catch_up_until = 0  # what is read until then had waited, and
+        self.last_came = 0  # the last of it came then
         self.deadline = RequestDeadline()
         self.arrived = 0  # bytes that the deadline has not been told of
         self.held_since = 0  # since when reading is held back
@@ -149,19 +153,22 @@
         if self.machine.quiet() and self.deadline.due() is None:
             return  # as most of the time: all that came was whole
         self.deadline.read(self.moved - self.lay_unread(), self.machine.position(), arrived)
+        if self.moved < self.catch_up_until and arrived >= BLOCKED:
+            # The system may have had no room for more: whoever was kept from writing is given a moment to go on.
+            self.deadline.spare(self.moved + GO_ON)
         self.front.waits_for(self)
 
     def lay_unread(self) -> int:
         """How long the last of what was read now had waited for that: before it was accepted, or in a process that was
         busy or stopped. The loop knows the most that it can be; the system, asked where that is long, how long it was.
         """
-        earliest = self.moved - self.front.turn.unread(self.moved, self.first_since())
-        if self.behind_since:
-            earliest = min(earliest, self.behind_since)
-        most = self.moved - earliest
+        if self.moved < self.catch_up_until:
+            return self.moved - self.last_came
+        most = self.front.turn.unread(self.moved, self.first_since())
         waited = min(most, self.silence()) if most > UNREAD_NOTICED else 0
-        # Much that has waited is read in many turns of the loop, of which only the first came late.
-        self.behind_since = earliest if waited > UNREAD_NOTICED else 0
+        if waited > UNREAD_NOTICED:
+            # Much that has waited is read in many turns of the loop, of which only the first came late.
+            self.last_came, self.catch_up_until = self.moved - waited, self.moved + CATCH_UP
         return waited
 
     def overdue(self, now: int) -> bool:
@@ -198,7 +205,7 @@
             return
         self.moved = self.front.door.now()
         self.pause(back)
-        self.behind_since = 0  # what comes after this has waited for us
+        self.catch_up_until = 0  # what comes after this has waited for us
         if back:
             self.held_since = self.moved
         else:
--- a/ternquay/net/front.py
+++ b/ternquay/net/front.py
@@ -15,6 +15,7 @@
 from ternquay.net.turn import Turn
 
 LOOK_AGAIN = 50 * MS  # between two looks for requests that are overdue, at least
+SETTLE = 20 * MS  # between an answer and the close of a connection that is one too many
 
 
 class Front(Factory):
@@ -136,9 +137,16 @@
                     # Against clients that ask once and keep the connection: the others would get none.
                     self.close_resting(next(iter(self.asked)))
             # At a drain one that has just come is about to write: it is closed after its answer.
-            leaves = self.leaving and (client.answered or not self.spared)
-            if leaves or (client.answered and (client.crowded or self.held_up)):
+            if self.leaving and (client.answered or not self.spared):
                 self.close_resting(client)
+            elif client.answered and (client.crowded or self.held_up):
+                # Not in this step: what a client has written behind its request may be on its way.
+                self.door.later(client.moved + SETTLE, self._close_settled, client, client.moved)
+
+    def _close_settled(self, client: ClientConnection, moved: int) -> None:
+        """Closes one that was idle then and has been since."""
+        if client in self.resting and client.moved == moved:
+            self.close_resting(client)
 
     def shed(self) -> bool:
         """Closes the client connection that has been idle longest."""
--- a/ternquay/net/request_deadline.py
+++ b/ternquay/net/request_deadline.py
@@ -46,11 +46,12 @@
     began: int = 0  # when the first byte of this part came
     last: int = 0  # when its latest byte came
     received: int = 0  # bytes of this part
+    spared: int = 0  # it is not due before then
 
     def read(self, came: int, position: Position, size: int) -> None:
         """So many bytes were read, the last of which came then, and brought the stream to that position."""
         if position != self.position:
-            self.position, self.began, self.received = position, came, 0
+            self.position, self.began, self.received, self.spared = position, came, 0, 0
         self.last = max(self.last, came)
         self.received += size
 
@@ -59,11 +60,15 @@
         self.began += span
         self.last += span
 
+    def spare(self, until: int) -> None:
+        """The request is not overdue before then, whatever came late."""
+        self.spared = max(self.spared, until)
+
     def due(self) -> int | None:
         """When the request is overdue; None between two requests."""
         if self.position.part is Part.NONE:
             return None
         if self.position.part is Part.LINE:
-            return self.began + LINE_MOST
+            return max(self.spared, self.began + LINE_MOST)
         by_rate = self.began + VALUE_LEAST + self.received * SECOND // VALUE_RATE
-        return min(by_rate, self.last + VALUE_PAUSE)
+        return max(self.spared, min(by_rate, self.last + VALUE_PAUSE))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -190,6 +190,9 @@
     net.accept()
     fourth = net.client()  # nobody is idle: it is told so
     fourth.feed(mg(4))
+    net.run(19)
+    assert not fourth.lost  # what it wrote behind its request may be on its way
+    net.run(2)
     assert fourth.lost
     fifth = net.client()
     net.run(1300)  # silent for so long that it is closed for the next one
@@ -199,6 +202,22 @@
     net.matches("net_full")
 
 
+def test_one_too_many_that_goes_on_before_it_is_closed_has_its_answer_too() -> None:
+    net = Net(limits={"sockets": 4, "clients": 2, "spare": 1})
+    for number in range(2):
+        net.client().feed(mg(number))
+        net.accept()
+    crowded = net.client()
+    crowded.feed(mg(4))
+    net.run(10)
+    crowded.feed(mg(5))
+    assert not crowded.lost and sum("SERVER_ERROR busy" in line for line in net.trace) == 2
+    net.run(19)
+    assert not crowded.lost
+    net.run(2)
+    assert crowded.lost
+
+
 def test_an_idle_client_that_has_just_written_is_not_closed_on() -> None:
     net = Net(limits={"sockets": 4, "clients": 1, "spare": 1})
     first = net.client()
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -265,11 +265,29 @@
     for _ in range(3):
         net.run(1)
         net.turn.begins(net.door.now())
+        client.silent_ms = 0  # the system had no room for the rest before
         client.feed(b"x" * 20000)
     net.run(VALUE_PAUSE // MS - 2000 + 60)
     assert client.closing or client.lost
 
 
+def test_who_was_kept_from_writing_by_a_stop_is_given_a_moment_to_go_on() -> None:
+    """A process that stood still for 5 s reads what the system had room for; the rest comes once it has."""
+    net = Net()
+    net.turn.begins(net.door.now(), net.door.now() - 5 * SECOND, most=0)
+    client = net.client()
+    client.silent_ms = 4900
+    client.feed(b"ms k 200000 O1 Pc=once,d=900\r\n" + b"x" * 60000)
+    client.silent_ms = 0
+    for _ in range(4):
+        net.run(300)
+        net.turn.begins(net.door.now())
+        assert not client.closing and not client.lost
+        client.feed(b"x" * 20000)
+    net.run(VALUE_PAUSE // MS - 100)
+    assert not client.closing and not client.lost
+
+
 @pytest.mark.parametrize(("written", "part", "lines"), [
     (b"", Part.NONE, 0), (b"mg", Part.LINE, 0), (mg(1), Part.NONE, 1), (mg(1) + b"m", Part.LINE, 1),
     (ms(1)[:-3], Part.VALUE, 1), (ms(1), Part.NONE, 1), (ms(1) + mg(2), Part.NONE, 2),
