A request that begins behind a late read has its own time

Found on reading the change again: in the 0.1 s after a late read a line that began anew counted as old as what had waited, so a slow client would be ended early after a stop. Only more of the same part of a request does now.

--- a/ternquay/hosted/shared/front.py
+++ b/ternquay/hosted/shared/front.py
@@ -123,9 +123,9 @@
             self.unreading, self.paused_at = True, self.front.door.now()
             self.transport.pauseProducing()
 
-    def lay_unread(self) -> int:
+    def lay_unread(self, goes_on: bool) -> int:
         # That it waits for its turn is no doing of the client's.
-        return max(0, super().lay_unread() - self.turn_wait)
+        return max(0, super().lay_unread(goes_on) - self.turn_wait)
 
     def piece(self) -> bool:
         self.turn_wait = 0
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -21,7 +21,7 @@
 
 OVERDUE = b"CLIENT_ERROR request was not whole in time"
 UNREAD_NOTICED = 100 * MS  # bytes that waited no longer than this to be read count as read when they came
-CATCH_UP = 100 * MS  # from the first late read on, what is read counts as having waited like the first
+CATCH_UP = 100 * MS  # from a late read on, more of the same counts as having waited like that
 BLOCKED = 16 << 10  # bytes read at once: a client that wrote as much may have been kept from writing more
 GO_ON = 500 * MS  # for such a one to write more
 
@@ -152,17 +152,19 @@
         arrived, self.arrived = self.arrived, 0
         if self.machine.quiet() and self.deadline.due() is None:
             return  # as most of the time: all that came was whole
-        self.deadline.read(self.moved - self.lay_unread(), self.machine.position(), arrived)
+        position = self.machine.position()
+        self.deadline.read(self.moved - self.lay_unread(position == self.deadline.position), position, arrived)
         if self.moved < self.catch_up_until and arrived >= BLOCKED:
             # The system may have had no room for more: whoever was kept from writing is given a moment to go on.
             self.deadline.spare(self.moved + GO_ON)
         self.front.waits_for(self)
 
-    def lay_unread(self) -> int:
+    def lay_unread(self, goes_on: bool) -> int:
         """How long the last of what was read now had waited for that: before it was accepted, or in a process that was
         busy or stopped. The loop knows the most that it can be; the system, asked where that is long, how long it was.
+        `goes_on`: it belongs to the same part of a request as what was read before.
         """
-        if self.moved < self.catch_up_until:
+        if goes_on and self.moved < self.catch_up_until:
             return self.moved - self.last_came
         most = self.front.turn.unread(self.moved, self.first_since())
         waited = min(most, self.silence()) if most > UNREAD_NOTICED else 0
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -271,6 +271,20 @@
     assert client.closing or client.lost
 
 
+def test_a_request_that_begins_behind_a_late_read_has_its_own_time() -> None:
+    net = Net()
+    net.turn.begins(net.door.now(), net.door.now() - 3 * SECOND, most=0)
+    client = net.client()
+    client.silent_ms = 2000
+    client.feed(b"mg k")
+    net.run(10)
+    net.turn.begins(net.door.now())
+    client.silent_ms = 0
+    client.feed(mg(1, profile="nobody")[4:] + b"mg k")  # ends that line, and begins another
+    net.run(LINE_MOST // MS - 60)
+    assert not client.closing and not client.lost
+
+
 def test_who_was_kept_from_writing_by_a_stop_is_given_a_moment_to_go_on() -> None:
     """A process that stood still for 5 s reads what the system had room for; the rest comes once it has."""
     net = Net()
