Late reads: a value whose line was read in the turn before is as old as that line

Their line was read short and late, the value in the next turn began anew, with the whole 2.5 s. In the 0.1 s after a late read a part that begins is as old as the system says data last came; more of the same part counts as before.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -21,7 +21,7 @@
 
 OVERDUE = b"CLIENT_ERROR request was not whole in time"
 UNREAD_NOTICED = 100 * MS  # bytes that waited no longer than this to be read count as read when they came
-CATCH_UP = 100 * MS  # from a late read on, more of the same counts as having waited like that
+CATCH_UP = 100 * MS  # from a late read on, more of the same counts as having waited like that; else the system is asked
 BLOCKED = 16 << 10  # bytes read at once: a client that wrote as much may have been kept from writing more
 GO_ON = 500 * MS  # for such a one to write more
 
@@ -164,8 +164,9 @@
         busy or stopped. The loop knows the most that it can be; the system, asked where that is long, how long it was.
         `goes_on`: it belongs to the same part of a request as what was read before.
         """
-        if goes_on and self.moved < self.catch_up_until:
-            return self.moved - self.last_came
+        if self.moved < self.catch_up_until:
+            most = self.moved - self.last_came
+            return most if goes_on else min(most, self.silence())
         most = self.front.turn.unread(self.moved, self.first_since())
         waited = min(most, self.silence()) if most > UNREAD_NOTICED else 0
         if waited > UNREAD_NOTICED:
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -271,6 +271,19 @@
     assert client.closing or client.lost
 
 
+def test_a_late_value_is_as_old_though_its_line_was_read_in_the_turn_before() -> None:
+    net = Net()
+    net.turn.begins(net.door.now(), net.door.now() - 2 * SECOND, most=0)
+    client = net.client()
+    client.silent_ms = 1500
+    client.feed(b"ms k 1")
+    net.run(2)
+    net.turn.begins(net.door.now())
+    client.feed(b"000 O1 Pc=once,d=900\r\nxx")
+    net.run(VALUE_PAUSE // MS - 1500 + 60)
+    assert client.closing or client.lost
+
+
 def test_a_request_that_begins_behind_a_late_read_has_its_own_time() -> None:
     net = Net()
     net.turn.begins(net.door.now(), net.door.now() - 3 * SECOND, most=0)
