--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(HERE.parent / "lib"))
 
 from harness import TROUBLE, Balancer, main  # noqa: E402
-from standins import CacheHost, Connection, Discovery, Record, Request, now  # noqa: E402
+from standins import CacheHost, Connection, Discovery, Record, now  # noqa: E402
 
 MEMORY_MB, SOCKETS = 96, 512  # on the days of the crowd memory and descriptors are halved
 LATE_S = 0.5  # an answer up to so long after its time only earns nothing
