--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from typing import ClassVar
 
 LIMIT = 1 << 23
 
@@ -49,10 +50,14 @@
         self.value = value
 
 
-async def read_command(reader: asyncio.StreamReader) -> Request | None:
-    """Reads one command with its value. Returns None at the end of the connection."""
+async def read_command(reader: asyncio.StreamReader, idle_s: float | None) -> Request | None:
+    """Reads one command with its value. Returns None at the end of the connection, or if no byte comes within `idle_s`.
+
+    Once a command has begun it may take any time.
+    """
     try:
-        line = await reader.readuntil(b"\r\n")
+        first = await asyncio.wait_for(reader.readexactly(1), idle_s)
+        line = first + await reader.readuntil(b"\r\n")
         words = line.split()
         if not words or words[0] == b"mn":
             return None
@@ -60,13 +65,15 @@
         if words[0] == b"ms":
             value = (await reader.readexactly(int(words[2]) + 2))[:-2]
         return Request(words, value)
-    except (asyncio.IncompleteReadError, ConnectionError, OSError):
+    except (asyncio.IncompleteReadError, OSError):  # TimeoutError and ConnectionError are kinds of OSError
         return None
 
 
 class CacheHost:
     """One cache host. `service_time` returns the seconds that a command takes."""
 
+    applied: ClassVar[dict[str, float]] = {}  # of all cache hosts: idempotency keys, and when they were first run
+
     def __init__(
         self,
         name: str,
@@ -80,7 +87,6 @@
         self.idle_s, self.window_s = idle_s, window_s
         self.begun: dict[str, int] = {}  # by request id, how often its last byte came
         self.done: dict[str, int] = {}
-        self.applied: dict[str, float] = {}  # idempotency keys, and when they were first seen
         self.up_since_ms = 0
         self.phase = "up"
 
@@ -107,10 +113,7 @@
         try:
             while True:
                 timeout = None if any(not task.done() for task in work) else self.idle_s
-                try:
-                    request = await asyncio.wait_for(read_command(reader), timeout)
-                except TimeoutError:
-                    break
+                request = await read_command(reader, timeout)
                 if request is None:
                     break
                 self.begun[request.id] = self.begun.get(request.id, 0) + 1
@@ -129,8 +132,18 @@
 
     async def run(self, request: Request) -> bytes:
         await asyncio.sleep(self.service_time(request))
+        key = request.names.get("k")
+        if key is not None and now() - self.applied.get(key, -self.window_s) < self.window_s:
+            self.record.say(f"{self.name} drops a repeat: {request.key} id {request.id}")
+            return self.answer(request)
+        if key is not None:
+            self.applied[key] = now()
         self.done[request.id] = self.done.get(request.id, 0) + 1
         self.record.say(f"{self.name} has run {request.verb} {request.key} id {request.id}")
+        return self.answer(request)
+
+    def answer(self, request: Request) -> bytes:
+        """Returns the value of a read, or the receipt of a write."""
         if request.value is None:
             value = self.value_of(request.key)
             return b"VA %d O%s h1\r\n%s\r\n" % (len(value), request.id.encode(), value)
