Unread answers over the memory limit cost no reading client its own

Seen on a simulated clock: three clients leave 1,200 bytes unread at a limit of 1,000, a fourth that reads is cut off with the answer that is written to it. The same with 30 answers that become known in one turn.

Cause: ClientConnection.write_answer aborted the client that it wrote to once the sum over all clients was over the limit. The answer had left the row of those that are owed by then, so no violation was counted.

Change: writing closes nobody for the shared limit. Those are the clients at fault; the others keep their answers.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -310,6 +310,8 @@
             return RequestRefusal.CROWDED
         if len(self.pending) > self.frontend.limits.pipelined:
             return RequestRefusal.PIPELINED
+        if self.frontend.answers_exceeded():
+            return RequestRefusal.MEMORY
         return RequestRefusal.LATE_TURN if late else None
 
     def begin_transaction(self, command: meta.Command, pending_answer: PendingAnswer, unread: int) -> None:
@@ -395,8 +397,6 @@
         self.last_activity = self.frontend.dispatcher.now()
         if self.queued_bytes > self.frontend.limits.queued_bytes:
             self.abort(CloseReason.ANSWERS_UNREAD)
-        elif self.frontend.answers_exceeded():
-            self.abort(CloseReason.MEMORY)
         else:
             self.transport.write(text)
 
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -17,6 +17,7 @@
 
 MIN_DEADLINE_CHECK_NS = 50 * MS  # the shortest interval between two checks for overdue requests
 CLOSE_DELAY_NS = 20 * MS  # between an answer and the close of a connection over the limit
+MIN_UNSENT_NS = SECOND  # a client that takes no answers for this long is closed if memory is short
 
 
 class Frontend(Factory):
@@ -259,6 +260,14 @@
         line_writers = (client for client in self.incomplete_requests if client.parser.awaits_no_value())
         return next(value_writers, None) or next(line_writers, None)
 
+    def close_unread(self) -> None:
+        """Closes clients that take no answers while unsent answers exceed their memory limit, longest first."""
+        now = self.dispatcher.now()
+        for client in [c for c in self.unsent_answers if c.unsent_for(now) >= MIN_UNSENT_NS]:
+            if not self.answers_exceeded():
+                return
+            client.abort(CloseReason.ANSWERS_UNREAD)
+
     def sweep(self) -> None:
         """Calls close_stale() at a fixed interval, starting now."""
         # Scheduled first, so that an exception in one sweep does not end the sweeps.
@@ -272,6 +281,7 @@
             client.abort(
                 CloseReason.ANSWERS_UNREAD if client.queued_bytes or client.ended else CloseReason.VALUE_BROKEN
             )
+        self.close_unread()
         if self.accepting_paused:
             self.close_longest_idle()
         if 2 * self.sockets.clients > self.limits.clients:
--- a/tests/test_shared_memory.py
+++ b/tests/test_shared_memory.py
@@ -12,7 +12,7 @@
 from ternquay.net.meta import InvalidCommand, OverLimit, RequestParser
 from ternquay.net.safety import CloseReason, RequestRefusal, Violation
 from ternquay.net.shared_budget import SharedBudget
-from tests.helper import FACTS, Net, ThreadedServer, member
+from tests.helper import FACTS, Net, ThreadedServer, Wire, member
 from tests.test_endings import sent_commands
 from tests.test_hosted_endings import HostedNet, bind_no_sockets  # noqa: F401
 from tests.test_net import mg, va
@@ -168,6 +168,60 @@
     assert stopped.lost and not net.dispatcher.safety.violations
 
 
+# ---- answers that clients do not read ----
+
+
+def unread_answers(net: Net, *clients: Wire) -> None:
+    """Writes an answer of 400 bytes to each client, which the operating system does not take from now on."""
+    for number, client in enumerate(clients, 100):
+        client.stuck = True
+        client.feed(mg(number))
+        host = net.accept() if net.reactor.tcpClients else net.wires[-1]  # the connection that was used last
+        host.feed(va(number, b"x" * 400))
+
+
+# Guards against: the client that is written to next is cut off, with its answer, for what others do not read.
+def test_answers_that_others_do_not_read_cost_no_client_its_own() -> None:
+    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    usual, *deaf = [net.client() for _ in range(4)]
+    usual.feed(mg(1))
+    first = net.accept()
+    unread_answers(net, *deaf)
+    assert net.frontend.answers_exceeded()
+    first.feed(va(1))
+    usual.feed(mg(2))  # new requests are refused until there is room
+    assert not usual.lost and "VA 3 O1" in replies(net)[0] and "busy" in replies(net)[1]
+    assert not any("O2" in one for one in sent_commands(net))
+    assert net.dispatcher.safety.request_refusals == {RequestRefusal.MEMORY: 1}
+    net.run(1300)
+    assert [one.lost for one in deaf] == [True, False, False], "no more of them than the limit wants"
+    assert net.dispatcher.safety.client_closes == {CloseReason.ANSWERS_UNREAD: 1}
+    usual.feed(mg(3))
+    first.feed(va(3))  # the connection that was used last
+    assert "VA 3 O3" in replies(net)[2] and not net.dispatcher.safety.violations
+
+
+def test_a_client_that_takes_some_bytes_is_not_closed_for_the_memory_of_answers() -> None:
+    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    slow, *deaf = [net.client() for _ in range(3)]
+    unread_answers(net, slow, *deaf)
+    for _ in range(16):
+        net.run(100)
+        slow.bytes_taken += 1
+    assert [one.lost for one in (slow, *deaf)] == [False, True, False]
+
+
+# Guards against: answers that become known in one turn close the connections that they are written to.
+def test_many_answers_of_one_turn_are_all_written() -> None:
+    net = Net(sockets=192, limits={"buffered_bytes": 100})
+    clients = [net.client() for _ in range(30)]
+    for client in clients:
+        client.protocol.dataReceived(b"mn\r\n")  # the system takes nothing before the turn ends
+    net.take()
+    assert all("MN" in written(net, number) for number in range(30))
+    assert not any(client.lost for client in clients) and not net.frontend.unsent_answers.total
+
+
 # Guards against: a close for memory that takes an answer with it is counted as in order (net/safety.py).
 @pytest.mark.parametrize("known", [False, True])
 def test_a_close_for_memory_that_owes_an_answer_is_a_violation(known: bool) -> None:
