Hosted: a process over its memory drops no client that waits for an answer

Seen on a simulated clock: a tenant's client waits for the answer to a request that was forwarded, with half a value behind it. The process is over its memory, and the client is dropped with both. A client that reads, and has just been written to, is dropped in the same way.

TenantHost._reclaim_memory dropped the client with most bytes, whatever it was owed.

Change: each step frees what can be freed without a loss: an incomplete request is refused, else a client is closed that has taken no byte for a second. What can't be freed yet keeps the tenants over their guarantee from taking new requests, so that memory does not grow meanwhile.

Measured: the two new tests fail before; now they pass with the rest of the file and the hosted parts and endings.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -29,11 +29,9 @@
 from ternquay.hosted.tenants.shared_hosts import SharedHostTable
 from ternquay.hosted.tenants.tenant import Guarantee, InvalidField, State, Tenant
 from ternquay.net import library_log
-from ternquay.net.client import ClientConnection
 from ternquay.net.closing import after_answers_sent
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.loop_timing import LoopTiming
-from ternquay.net.safety import CloseReason
 from ternquay.net.serve import MonotonicReactor
 
 SWEEP_INTERVAL_NS = 250 * MS
@@ -209,20 +207,26 @@
             self.reactor.callLater(REMOVE_RETRY_SECONDS, self.removing.discard, name)
 
     def _reclaim_memory(self) -> None:
-        """While all tenants together hold too much, drops clients of the tenant that is furthest over its guarantee."""
-        held = {runtime: runtime.buffered_bytes() for runtime in self.runtimes.values()}
-        while sum(held.values()) > self.memory_bytes:
-            runtime = max(held, key=lambda one: held[one] - one.entry.tenant.limits.memory.least * self.memory_bytes)
-            incomplete = runtime.frontend.incomplete_requests.sizes
-
-            def memory(client: ClientConnection, incomplete: dict[ClientConnection, int] = incomplete) -> int:
-                return incomplete.get(client, 0) + client.queued_bytes
-
-            clients = [client for client in runtime.frontend.clients if memory(client)]
-            if not clients:
-                break
-            runtime.frontend.drop(max(clients, key=memory), CloseReason.MEMORY)
-            held[runtime] = runtime.buffered_bytes()
+        """While all tenants together hold too much, frees memory of the tenant that is furthest over its guarantee.
+
+        What can't be freed at once keeps the tenants that are over their guarantee from taking new requests.
+        """
+        excess = sum(runtime.buffered_bytes() for runtime in self.runtimes.values()) - self.memory_bytes
+        over = {runtime: self._over_guarantee(runtime) for runtime in self.runtimes.values()}
+        while excess > 0 and over:
+            runtime = max(over, key=over.__getitem__)
+            if over[runtime] <= 0 or not runtime.frontend.free_memory():
+                del over[runtime]
+                continue
+            now_over = self._over_guarantee(runtime)
+            excess -= over[runtime] - now_over
+            over[runtime] = now_over
+        for runtime in self.runtimes.values():
+            runtime.frontend.memory_short = excess > 0 and self._over_guarantee(runtime) > 0
+
+    def _over_guarantee(self, runtime: TenantRuntime) -> float:
+        """Returns by how many bytes a tenant holds more than its guaranteed part of the memory."""
+        return runtime.buffered_bytes() - runtime.entry.tenant.limits.memory.least * self.memory_bytes
 
     def process(self) -> dict[str, Any]:
         """Returns what the administration API reports of the process."""
--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -14,7 +14,7 @@
 from ternquay.net import meta
 from ternquay.net.client import ClientConnection, PendingAnswer
 from ternquay.net.dispatcher import Dispatcher
-from ternquay.net.frontend import Frontend
+from ternquay.net.frontend import MIN_UNSENT_NS, Frontend
 from ternquay.net.limits import Limits
 from ternquay.net.listener import Listener
 from ternquay.net.loop_timing import LoopTiming
@@ -242,6 +242,7 @@
         self.scheduler, self.name, self.client_limiter = scheduler, name, client_limiter
         self.clients_by_address: dict[str, dict[TenantClient, None]] = {}
         self.suspended_delay = self.max_open_txs = self.clients_with_txs = 0
+        self.memory_short = False  # all tenants together hold too much, and this one more than its guarantee
         self.fence_delay: Callable[[], int] | None = None  # the same, of a member of a fleet
 
     def buildProtocol(self, addr: Any) -> TenantClient:
@@ -327,6 +328,19 @@
         client = self.incomplete_requests.largest()
         return None if client is None or client.parser.discards_value() else client
 
+    def answers_exceeded(self) -> bool:
+        return self.memory_short or super().answers_exceeded()
+
+    def free_memory(self) -> bool:
+        """Frees memory of an incomplete request, or of answers that a client does not take. Returns whether it did."""
+        if self.refuse_incomplete_request():
+            return True
+        now = self.dispatcher.now()
+        client = next((client for client in self.unsent_answers if client.unsent_for(now) >= MIN_UNSENT_NS), None)
+        if client is not None:
+            client.abort(CloseReason.ANSWERS_UNREAD)
+        return client is not None
+
     # ---- transactions ----
 
     def admission_delay(self, client: TenantClient) -> int:
--- a/tests/test_shared_memory.py
+++ b/tests/test_shared_memory.py
@@ -277,6 +277,44 @@
     assert not net.dispatcher.safety.violations
 
 
+# Guards against: the client that holds most is dropped with the answer that it waits for, where the process is full.
+def test_a_hosted_process_over_its_memory_drops_no_client_that_waits_for_an_answer() -> None:
+    net = HostedNet()
+    client = net.client()
+    net.start_turn()
+    client.feed(mg(1))
+    host = net.accept()
+    net.start_turn()
+    client.feed(half_written(2, sent=900))
+    net.host.memory_bytes = 1000
+    net.run(300)
+    assert not client.lost and not net.frontend.incomplete_requests.total
+    host.feed(va(1))
+    assert 0 < written(net, 0).index("VA 3 O1") < written(net, 0).index("busy") and not client.lost
+    assert not net.dispatcher.safety.violations
+
+
+def test_a_hosted_process_over_its_memory_closes_who_reads_nothing_and_refuses_meanwhile() -> None:
+    net = HostedNet()
+    reading, deaf = net.client(), net.client()
+    net.host.memory_bytes = 100
+    for client in (deaf, reading):
+        net.start_turn()
+        client.stuck = client is deaf
+        client.feed(mg(1))
+        (net.accept() if net.reactor.tcpClients else net.wires[-1]).feed(va(1, b"x" * 300))
+    net.run(300)
+    assert not deaf.lost and net.frontend.memory_short
+    net.start_turn()
+    reading.feed(mg(2))
+    assert "busy" in written(net, 0) and not reading.lost
+    for _ in range(30):
+        net.run(50)
+        net.start_turn()  # else the process counts as stopped
+    assert deaf.lost and not reading.lost and not net.frontend.memory_short
+    assert net.dispatcher.safety.client_closes == {CloseReason.ANSWERS_UNREAD: 1}
+
+
 # ---- as processes ----
 
 
