Responses that stand still over the memory limit cost no other connection its hops

Cause: HostConnection.rawDataReceived failed the connection that was read last once the sum over all was over the limit, as with incomplete requests.

Change: Pool.count_incomplete closes the connection whose response has stood still for longest.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -211,7 +211,7 @@
 
         What can't be freed at once keeps the tenants that are over their guarantee from taking new requests.
         """
-        excess = sum(runtime.buffered_bytes() for runtime in self.runtimes.values()) - self.memory_bytes
+        excess: float = sum(runtime.buffered_bytes() for runtime in self.runtimes.values()) - self.memory_bytes
         over = {runtime: self._over_guarantee(runtime) for runtime in self.runtimes.values()}
         while excess > 0 and over:
             runtime = max(over, key=over.__getitem__)
--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -469,7 +469,7 @@
             self.dispatcher.buffered_bytes
             + self.frontend.incomplete_requests.total
             + self.frontend.unsent_answers.total
-            + self.pool.buffered_bytes
+            + self.pool.incomplete_responses.total
         )
 
     def usage(self) -> dict[str, Any]:
--- a/ternquay/net/host_connection.py
+++ b/ternquay/net/host_connection.py
@@ -34,7 +34,6 @@
         self.address = host.address  # of this connection; the host may have moved to another one since
         self.connector: Any = None
         self.machine = ResponseParser(pool.limits.line_bytes, pool.limits.answer_bytes, pool.limits.stream_above_bytes)
-        self.buffered_bytes = 0  # of an incomplete response
         self.to_write: deque[OutgoingHop] = deque()
         self.writing: OutgoingHop | None = None
         self.hops: deque[OutgoingHop] = deque()  # given to the transport, in order; given-up ones keep their place
@@ -155,15 +154,14 @@
             else:
                 self.value_finished()
         if not self.closing:
-            self.pool.buffered_bytes += len(self.machine.buffer) - self.buffered_bytes
-            self.buffered_bytes = len(self.machine.buffer)
-            if self.pool.buffered_bytes > self.pool.limits.buffered_bytes:
-                self.machine.fault = "incomplete responses exceed the buffer limit"
+            self.pool.count_incomplete(self, len(self.machine.buffer))
         if self.machine.fault and not self.closing:
-            self.pool.dispatcher.log(
-                "WARNING", "{} sent an invalid response: {}", self.host.address, self.machine.fault
-            )
-            self.abort(ServerCloseReason.BAD_ANSWER)
+            self.reject_response(self.machine.fault)
+
+    def reject_response(self, fault: str) -> None:
+        """Closes the connection, because its response is not valid or there is no memory for it."""
+        self.pool.dispatcher.log("WARNING", "{} sent an invalid response: {}", self.host.address, fault)
+        self.abort(ServerCloseReason.BAD_ANSWER)
 
     def answer_received(self, answer: Answer) -> None:
         """Ends the first hop with a complete response."""
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -9,6 +9,7 @@
 from ternquay.net.limits import SECOND, Limits
 from ternquay.net.listing import Address
 from ternquay.net.safety import ServerCloseReason
+from ternquay.net.shared_budget import SharedBudget
 from ternquay.net.sockets import Sockets
 
 
@@ -34,7 +35,7 @@
         # Where a transaction may have only one hop in flight, a given-up hop must not stay on a shared connection.
         self.allow_sharing = allow_sharing
         self.hosts: dict[int, HostConnections] = {}
-        self.buffered_bytes = 0  # of incomplete responses, on all connections
+        self.incomplete_responses: SharedBudget[HostConnection] = SharedBudget()
         self.idle_loss = IdleLoss(limits)
         sockets.close_idle_host = self.close_idlest
 
@@ -141,16 +142,25 @@
     def connection_lost(self, connection: HostConnection) -> None:
         """Forgets a connection that is closed or about to close."""
         host = connection.host
+        self.incomplete_responses.release(connection)
         if connection in host.connections:
             del host.connections[connection]
             self.sockets.host_closed()
             if not connection.transport_closed:
                 self.sockets.closing.add(connection)
-            self.buffered_bytes -= connection.buffered_bytes
             self._remove_if_unused(host)
         if connection in host.idle:
             host.idle.remove(connection)
 
+    def count_incomplete(self, connection: HostConnection, size: int) -> None:
+        """Records the bytes of an incomplete response.
+
+        While all of them exceed their memory limit, closes the connection whose response has stood still for longest.
+        """
+        self.incomplete_responses.record_progress(connection, size)
+        while self.incomplete_responses.total > self.limits.buffered_bytes:
+            next(iter(self.incomplete_responses)).reject_response("incomplete responses exceed the memory limit")
+
     def _close_idle(self, host: HostConnections) -> None:
         for connection in list(host.idle):
             connection.close(ServerCloseReason.LEAVING)
--- a/tests/test_shared_memory.py
+++ b/tests/test_shared_memory.py
@@ -15,7 +15,7 @@
 from tests.helper import FACTS, Net, ThreadedServer, Wire, member
 from tests.test_endings import sent_commands
 from tests.test_hosted_endings import HostedNet, bind_no_sockets  # noqa: F401
-from tests.test_net import mg, va
+from tests.test_net import mg, ms, va
 from tests.test_review_links import balancer_config, free_port, replies, serving
 
 BUSY = b"SERVER_ERROR busy"
@@ -236,6 +236,27 @@
     assert net.dispatcher.safety.violations == {Violation.CLOSED_OWING: 1}
 
 
+# ---- incomplete responses of cache hosts ----
+
+
+# Guards against: a cache host that answers loses its connection and its hops for what others have not finished.
+def test_responses_that_stand_still_cost_no_other_connection_its_hops() -> None:
+    net = Net(hosts=1, limits={"buffered_bytes": 2000})
+    clients = [net.client() for _ in range(3)]
+    for number, client in enumerate(clients):
+        client.feed(ms(number) if number == 2 else mg(number))
+    stopped, slow, healthy = net.accept(), net.accept(), net.accept()
+    for number, host in enumerate((stopped, slow)):
+        host.feed(va(number, b"x" * 1200)[:980])
+    slow.feed(b"x")
+    healthy.protocol.dataReceived(b"HD O2 c" + b"r" * 120)
+    assert stopped.lost and not slow.lost and not healthy.lost
+    healthy.feed(b"\r\n")
+    slow.feed(va(1, b"x" * 1200)[981:])
+    assert "HD O2" in written(net, 2) and "VA 1200 O1" in written(net, 1)
+    assert not net.pool.incomplete_responses.total
+
+
 # ---- the same in the hosted service ----
 
 
