--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -14,7 +14,7 @@
 from ternquay.net import meta
 from ternquay.net.client import ClientConnection, PendingAnswer
 from ternquay.net.dispatcher import Dispatcher
-from ternquay.net.frontend import MIN_UNSENT_NS, Frontend
+from ternquay.net.frontend import Frontend
 from ternquay.net.limits import Limits
 from ternquay.net.listener import Listener
 from ternquay.net.loop_timing import LoopTiming
@@ -333,13 +333,7 @@
 
     def free_memory(self) -> bool:
         """Frees memory of an incomplete request, or of answers that a client does not take. Returns whether it did."""
-        if self.refuse_incomplete_request():
-            return True
-        now = self.dispatcher.now()
-        client = next((client for client in self.unsent_answers if client.unsent_for(now) >= MIN_UNSENT_NS), None)
-        if client is not None:
-            client.abort(CloseReason.ANSWERS_UNREAD)
-        return client is not None
+        return self.refuse_incomplete_request() or self.close_one_unread()
 
     # ---- transactions ----
 
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -414,7 +414,9 @@
     def abort(self, reason: CloseReason) -> None:
         """Closes the connection immediately and drops queued bytes."""
         if not self.ended:
-            owed = self.pending_ids() or [UNKNOWN_REQUEST_ID] * bool(self.queued_bytes)
+            owed = self.pending_ids()
+            if self.queued_bytes and not owed:
+                owed = [UNKNOWN_REQUEST_ID]
             self.frontend.safety.record_client_close(reason, owed)
         self.ended = True
         # The transport reports the end in a later loop iteration, and others must not pay for these bytes until then.
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -182,7 +182,7 @@
             self.close_idle(client)
 
     def close_longest_idle(self) -> bool:
-        """Closes a client to make room, unless all are in use. Returns whether one was closed.
+        """Closes a client that waits for no answer. Returns whether there was one.
 
         It is one that has stopped in a refused request, else the one that has been idle longest, else one without a
         complete command.
@@ -261,12 +261,17 @@
         return next(value_writers, None) or next(line_writers, None)
 
     def close_unread(self) -> None:
-        """Closes clients that take no answers while unsent answers exceed their memory limit, longest first."""
+        """Closes clients that take no answers while unsent answers exceed their memory limit."""
+        while self.answers_exceeded() and self.close_one_unread():
+            pass
+
+    def close_one_unread(self) -> bool:
+        """Closes the client with unsent answers for longest that takes none. Returns whether there was one."""
         now = self.dispatcher.now()
-        for client in [c for c in self.unsent_answers if c.unsent_for(now) >= MIN_UNSENT_NS]:
-            if not self.answers_exceeded():
-                return
+        client = next((client for client in self.unsent_answers if client.unsent_for(now) >= MIN_UNSENT_NS), None)
+        if client is not None:
             client.abort(CloseReason.ANSWERS_UNREAD)
+        return client is not None
 
     def sweep(self) -> None:
         """Calls close_stale() at a fixed interval, starting now."""
