--- a/ternquay/rig/stopping.py
+++ b/ternquay/rig/stopping.py
@@ -2,7 +2,8 @@
 
 One that stops in the middle of a request connects to one balancer, writes a part of a request, stays and waits; what it
 saw is written down for the judge. A crowd comes at once, to take all places that its balancer has: of clients that stop
-like this, that say nothing, or that ask and take no answers. The last two go when their fault ends.
+like this, or within a value that the balancer buffers, that say nothing, or that ask and take no answers. The last two
+go when their fault ends.
 """
 
 import sys
@@ -21,6 +22,7 @@
 DIAL = 1.0  # seconds
 CROWD_WITHIN = 0.2  # seconds in which a crowd comes
 UNREAD_REQUESTS = 64  # that one client of a crowd writes at once
+VALUE_BYTES, VALUE_SENT = 64_000, 63_500  # of a value that a client of `crowd-values` writes, and how many it sends
 ERRORS = (b"CLIENT_ERROR", b"SERVER_ERROR", b"ERROR")
 
 
@@ -36,6 +38,11 @@
     return whole[: random.randrange(1, len(whole))]
 
 
+def half_value(profile: str, number: int) -> bytes:
+    """A write that ends shortly before the last byte of a value, which a balancer buffers whole."""
+    return b"ms s%d %d Os%d Pc=%s,d=900\r\n" % (number, VALUE_BYTES, number, profile.encode()) + b"x" * VALUE_SENT
+
+
 class Stopping(Protocol):
     transport: Any
 
@@ -115,8 +122,8 @@
         idling: list[Idling] = []
         for number in range(fault.count):
             pause = CROWD_WITHIN * number / fault.count
-            if fault.kind == "crowd-stops":
-                self.reactor.callLater(pause, self._stop_at, fault.balancer)
+            if fault.kind in ("crowd-stops", "crowd-values"):
+                self.reactor.callLater(pause, self._stop_at, fault.balancer, fault.kind == "crowd-values")
                 continue
             text = self._whole_requests() if fault.kind == "crowd-unread" else b""
             idling.append(Idling(text))
@@ -142,11 +149,13 @@
         self._stop_at(self.random.randrange(len(self.plan.balancers)))
         self._wait()
 
-    def _stop_at(self, balancer: int) -> None:
+    def _stop_at(self, balancer: int, in_value: bool = False) -> None:
         profile = self.random.choice(self.plan.day.profiles).name
         seen = records.Stop(balancer, self.clock())
         self.seen.append(seen)
-        self._dial(balancer, Stopping(self, seen, half_request(self.random, profile, len(self.seen))))
+        number = len(self.seen)
+        text = half_value(profile, number) if in_value else half_request(self.random, profile, number)
+        self._dial(balancer, Stopping(self, seen, text))
 
     def saw(self) -> list[records.Stop]:
         now = self.clock()
--- a/ternquay/rig/terms.py
+++ b/ternquay/rig/terms.py
@@ -45,6 +45,7 @@
     "list-queue",
     "balancer-stop",
     "crowd-stops",
+    "crowd-values",
     "crowd-silent",
     "crowd-unread",
 ]
@@ -64,8 +65,9 @@
     "host-drains",
 }
 BALANCER_FAULTS = {"balancer-kill", "balancer-restart", "reload", "balancer-stop"}
-# Crowds of `count` clients of one balancer: each stops within a request, sends nothing, or reads no answers.
-CROWDS = {"crowd-stops", "crowd-silent", "crowd-unread"}
+# Crowds of `count` clients of one balancer: each stops within a request, or within a value that the balancer buffers,
+# sends nothing, or reads no answers.
+CROWDS = {"crowd-stops", "crowd-values", "crowd-silent", "crowd-unread"}
 
 
 class DayError(ValueError):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -60,6 +60,7 @@
     "agree-restart",
     "clock-steps",
     "system-calls",
+    "half-written",
 }
 
 
@@ -234,6 +235,15 @@
     assert json.loads((tmp_path / "out" / "breaches.json").read_text()) == []
 
 
+# Guards against: in a crowd of half-written values usual clients lose the answers that they wait for.
+def test_a_crowd_of_half_written_values_costs_no_answer(tmp_path: Path) -> None:
+    _, result = played(tmp_path / "out", "half-written", "--seconds", "6")
+    assert result["rules"] == {"lost": 0, "twice": 0, "drains": 0, "cold": 0, "wrong": 0, "stopped": 0}
+    assert result["crashes"] == 0 and result["committed"] > 0.6 * result["txs"]
+    logs = [(tmp_path / "out" / "logs" / f"balancer-{number}.log").read_text() for number in range(2)]
+    assert all("incomplete requests exceed the memory limit" in log and "violation:" not in log for log in logs)
+
+
 def below(parent: psutil.Process) -> list[psutil.Process]:
     try:
         found: list[psutil.Process] = parent.children(recursive=True)
