Tests of a failing disk: the failures wait until the tenant is there, however slow the start

A start that the failures overtake is made again with the failures 5 and then 15 s later; anything that fails before they begin fails the test as it did. All that is asked of the service is as before.

--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from ternquay.rig.disk_faults import DiskFault, failure_counts, fault_environment
 from ternquay.rig.terms import DayError
@@ -15,6 +16,7 @@
 STATE = "/v1/tenants/sur/state"
 STATES = ("suspended", "active")
 FAILURE_START_SECONDS = 2.5  # after the start of the process; the tenant is created before that
+LATER_BY_SECONDS = (0.0, 5.0, 15.0)  # added to it where the machine was too slow for that
 FAILURE_SECONDS = 2.0
 
 
@@ -43,6 +45,32 @@
             )
 
 
+def started_before_failures(
+    folder: Path, faults: tuple[DiskFault, ...], cache_host: str
+) -> tuple[FailingDisk, str, float]:
+    """Starts a service and creates its tenant while the disk is sound.
+
+    Returns the service, the address of the tenant, and when the failures begin, in seconds after the start.
+    """
+    for later_by in LATER_BY_SECONDS:
+        failing_from = FAILURE_START_SECONDS + later_by
+        shifted = [replace(fault, start=fault.start + later_by, end=fault.end + later_by) for fault in faults]
+        attempt_folder = folder / f"from-{failing_from:.0f}"
+        attempt_folder.mkdir()
+        service = FailingDisk(attempt_folder, *shifted)
+        try:
+            service.start()
+            listen = service.create_tenant("sur", (cache_host,))
+        except (AssertionError, OSError):
+            if time.monotonic() < service.began + failing_from:
+                raise
+        else:
+            if time.monotonic() < service.began + failing_from:
+                return service, listen, failing_from
+        service.kill()
+    raise AssertionError(f"no tenant within {failing_from} s of the start")
+
+
 def set_state(service: HostedService, state: str) -> int:
     """Sets the state of the tenant. Returns the version that was acknowledged, 0 if the change was refused."""
     reply = service.call("PUT", STATE, {"state": state}, if_match="*")
@@ -74,23 +102,21 @@
 ) -> None:
     always_fails = all(fault.rate == 1.0 for fault in faults)
     host = FakeCacheHost()
-    service = FailingDisk(tmp_path, *faults)
-    service.start()
-    port = service.create_tenant("sur", (host.address,))
+    service, port, failing_from = started_before_failures(tmp_path, faults, host.address)
+    failing_until = failing_from + FAILURE_SECONDS
     acknowledged, asked, refused, states = 1, 0, 0, {1: "active"}
     try:
-        while time.monotonic() < service.began + FAILURE_START_SECONDS + FAILURE_SECONDS:
+        while time.monotonic() < service.began + failing_until:
             state, began = STATES[asked % 2], time.monotonic() - service.began
             version, asked = set_state(service, state), asked + 1
             ended = time.monotonic() - service.began
             if version:
                 assert version > acknowledged
                 # Nothing can reach the disk while every call fails.
-                assert not (
-                    always_fails
-                    and began > FAILURE_START_SECONDS + 0.1
-                    and ended < FAILURE_START_SECONDS + FAILURE_SECONDS - 0.1
-                ), (version, began)
+                assert not (always_fails and began > failing_from + 0.1 and ended < failing_until - 0.1), (
+                    version,
+                    began,
+                )
                 acknowledged = version
                 states[version] = state
             refused += not version
