--- /dev/null
+++ b/tests/test_preproduction.py
@@ -0,0 +1,17 @@
+"""Regression tests of docs/incidents/pre-production-faults.md: faults played on real processes over loopback."""
+
+from random import Random
+
+import pytest
+
+from tests.fault_plays import Shape, run_play
+
+
+def shape(seed: int = 1, **more: object) -> Shape:
+    return Shape(Random(seed), **more)  # type: ignore[arg-type]
+
+
+# Guards against: a start that refuses a memory limit which the platform may set, and so ends at once again and again.
+@pytest.mark.parametrize("inherited", [False, True])
+def test_a_process_starts_whatever_memory_it_is_given(inherited: bool) -> None:
+    assert run_play("start-small", shape(inherited=inherited)) == []
