--- a/ternquay/net/__main__.py
+++ b/ternquay/net/__main__.py
@@ -1,18 +1,19 @@
 """`python -m ternquay.net`: serves with the configuration file that EDGE_CONFIG names.
 
-deploy/balancer.toml uses this entry point. It takes 6 MB less memory than `ternquay serve`, as it loads no command-line
-library. A process may have as little as 40 MB, and during an upgrade two processes share one limit.
+deploy/balancer.toml uses this entry point. It takes less memory than `ternquay serve`, as it loads no command-line
+library and none of the modules that net/slim_imports.py names.
 """
 
 import sys
 
-from ternquay.net.config import ConfigError, read_config
+from ternquay.net import slim_imports
 
 
 def serve(config: str = "") -> str:
     """Serves until SIGTERM. Returns the error of the configuration as one line, or an empty string."""
-    # Twisted would load 5 MB for TLS if OpenSSL is installed, and no port of this process uses TLS.
-    sys.modules.setdefault("OpenSSL", None)  # type: ignore[arg-type]
+    slim_imports.install()
+    from ternquay.net.config import ConfigError, read_config
+
     try:
         loaded = read_config(config)
         from ternquay.net.serve import run  # the reactor is chosen as it starts
--- a/ternquay/net/config.py
+++ b/ternquay/net/config.py
@@ -14,7 +14,7 @@
 from ternquay.net.listing import Address, FieldError, parse_address, parse_list
 
 MIN_SOCKETS = 48
-MIN_MEMORY_MB = 36  # the program itself, and a little of each kind of buffer
+MIN_MEMORY_MB = 1
 SOCKET_FD_VARIABLE = "EDGE_SOCKET_FD"  # the descriptor of an inherited listening socket, see net/inherited.py
 
 
@@ -95,7 +95,7 @@
     sockets = min(parse_integer(bounds.get("sockets"), "limits.sockets", min_sockets), descriptor_limit())
     if sockets < min_sockets:
         raise ConfigError(f"limits.sockets: the process may have {sockets} descriptors, {min_sockets} are wanted")
-    memory_mb = parse_integer(bounds.get("memory_mb"), "limits.memory_mb", processes * MIN_MEMORY_MB)
+    memory_mb = parse_integer(bounds.get("memory_mb"), "limits.memory_mb", MIN_MEMORY_MB)
     management_text = document.get("management", env.get("EDGE_MANAGEMENT") or None)
     try:
         settings, names, limits = (
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -11,12 +11,15 @@
 SILENCE_NS = 6 * SECOND  # the platform counts a change that a silent watch missed as delivered after this time
 CONNECTION_BYTES = 16 << 10  # memory of an idle connection in this program and in Twisted, see docs/bounds.md
 PROGRAM_MB = 30  # memory of the program and its decisions, all connections idle
+MIN_BUFFERED_BYTES = MIB // 4  # of each kind, however little memory there is: the process serves, if not much
+MAX_BUFFERED_BYTES = 256 * MIB
 
 
 @dataclass(slots=True, frozen=True)
 class Limits:
     """The limits of one process. Times are nanoseconds, sizes are bytes."""
 
+    below_program: bool  # the memory limit is below what the program itself takes
     # Sockets in total. Clients may use `clients` and the spare ones, connections to cache hosts the rest of the total.
     sockets: int
     clients: int
@@ -99,12 +102,13 @@
     spare = max(4, available // 8)
     longest_hard_limit = max(p["HardLimit"] for p in facts["Profiles"])
     # The limit applies to four kinds of buffers, above the memory of the program itself.
-    buffered = max(1, min(256, (memory_mb - PROGRAM_MB) // 5)) * MIB
+    buffered = max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, (memory_mb - PROGRAM_MB) * MIB // 5))
     accept_time, stop_time = SECOND // 2, min(longest_hard_limit * US, 3 * SECOND) + 600 * MS
     list_max_age = parse_duration(facts["Invariants"], "MustAskIn", "Invariants", default=0) or DEFAULT_LIST_MAX_AGE_NS
     drain_grace = parse_duration(facts["Invariants"], "DrainGrace", "Invariants", default=2 * SECOND)
     conn_idle = parse_duration(settings, "ConnIdle", "Limits", default=0) or 5 * SECOND
     return Limits(
+        below_program=memory_mb < PROGRAM_MB,
         sockets=available - spare,
         clients=(available - spare) * 2 // 3,
         spare=spare,
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -24,7 +24,7 @@
 from ternquay.net.dispatcher import Dispatcher, cancel_call
 from ternquay.net.frontend import Frontend
 from ternquay.net.inherited import adopt_socket, inherited_socket
-from ternquay.net.limits import SECOND
+from ternquay.net.limits import PROGRAM_MB, SECOND
 from ternquay.net.listener import Listener
 from ternquay.net.listing import Address
 from ternquay.net.loop_timing import LoopTiming, TimedPoller
@@ -100,6 +100,10 @@
 
     def begin(self) -> None:
         """Starts the parts and listens, or schedules it. Raises ConfigError."""
+        if self.limits.below_program:
+            logger.warning(
+                "limits.memory_mb: a process takes about {} MB itself, so the limit can't be kept", PROGRAM_MB
+            )
         self.discovery.apply(self.config.initial_list)  # read_config() has checked it
         if not self.config.settings.watch_list:
             self.discovery.watch()
