--- a/ternquay/net/slim_imports.py
+++ b/ternquay/net/slim_imports.py
@@ -6,9 +6,11 @@
 """
 
 import sys
+from importlib import import_module
 from types import ModuleType
 
 OPTIONAL_MODULES = ("OpenSSL", "ssl", "_ssl", "_hashlib", "bz2", "_bz2", "lzma", "_lzma", "ctypes", "_ctypes")
+PROGRAM_MODULES = ("ternquay.net.serve", "ternquay.net.replacement")
 COOKIE_MODULE = "http.cookiejar"  # twisted.python.compat imports it, and with it urllib.request and half of `email`
 
 
@@ -23,3 +25,14 @@
         empty.CookieJar = empty.Cookie = object  # type: ignore[attr-defined]
         sys.modules[COOKIE_MODULE] = empty
         http.cookiejar = empty  # type: ignore[attr-defined]
+
+
+def load_program() -> None:
+    """Loads all modules of a balancer's process, so that their compiled forms are stored (see deploy/balancer.toml)."""
+    install()
+    for name in PROGRAM_MODULES:
+        import_module(name)
+
+
+if __name__ == "__main__":
+    load_program()
--- a/tests/fault_harness.py
+++ b/tests/fault_harness.py
@@ -17,6 +17,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import cache
 from itertools import count
 from pathlib import Path
 from typing import Any
@@ -38,6 +39,17 @@
     return str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"])
 
 
+@cache
+def store_compiled_modules() -> None:
+    """Does the last step of the build, so that the first process takes no more memory than any other."""
+    subprocess.run(
+        [ROOT / ".venv/bin/python", "-OO", "-X", "pycache_prefix=.venv/cache", "-m", "ternquay.net.slim_imports"],
+        cwd=ROOT,
+        env={"PATH": os.environ.get("PATH", "")},
+        check=True,
+    )
+
+
 FIRST_PORT = 21_000  # below the ports that the system gives to outgoing connections
 ports = count(FIRST_PORT)
 
@@ -301,6 +313,7 @@
 
     async def start(self) -> "BalancerProcess":
         """Starts the process and returns when it has answered `mn`. Raises StartError if it ends before."""
+        store_compiled_modules()
         if self.inherited is not None:
             self.listen = self.inherited.getsockname()[:2]
         elif not self.listen[1]:
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -13,3 +13,8 @@
 def test_a_process_starts_whatever_memory_it_is_given() -> None:
     for inherited in (False, True):
         assert run_play("start-small", shape(inherited=inherited)) == []
+
+
+# Guards against: two processes of an upgrade that take more than the memory that they share.
+def test_two_processes_beside_each_other_keep_within_the_least_memory() -> None:
+    assert run_play("two-small", shape(memory_mb=64)) == []
