--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -18,3 +18,8 @@
 # Guards against: two processes of an upgrade that take more than the memory that they share.
 def test_two_processes_beside_each_other_keep_within_the_least_memory() -> None:
     assert run_play("two-small", shape(memory_mb=64)) == []
+
+
+# Guards against: a long answer that is refused at the service goal, as its head came in time and its body later.
+def test_a_long_answer_whose_body_comes_late_is_passed_on_whole() -> None:
+    assert run_play("late-body", shape(size=4)) == []
