--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -23,3 +23,8 @@
 # Guards against: a long answer that is refused at the service goal, as its head came in time and its body later.
 def test_a_long_answer_whose_body_comes_late_is_passed_on_whole() -> None:
     assert run_play("late-body", shape(size=4)) == []
+
+
+# Guards against: a request that is not in the form of the protocol is forwarded, and answered as served.
+def test_a_request_that_is_not_sound_is_not_served() -> None:
+    assert run_play("unsound", shape()) == []
