Only spaces separate the words of a command; names are not empty; a keyed write has its key

Cause: a line was split at any white space, so tabs, bare line feeds and form feeds passed the check of printable bytes, which saw the words without what separated them; a parameter needed an equals sign and no name; nothing asked a keyed write for its key, without which a repeat runs twice.

--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -212,7 +212,7 @@
         super().begin_transaction(command, pending_answer, unread)
 
     def share_name(self, command: meta.Command) -> str:
-        return CROWDING_SHARE if self.frontend.crowds(self) else command.params.get("tenant", "")
+        return CROWDING_SHARE if self.frontend.crowds(self) else command.share
 
     def answer_ready(self, pending_answer: PendingAnswer) -> None:
         if pending_answer.counted_open:
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -316,19 +316,22 @@
 
     def begin_transaction(self, command: meta.Command, pending_answer: PendingAnswer, unread: int) -> None:
         """Passes a transaction to the dispatcher. `unread`: the longest time that the command waited to be read."""
-        params, ttl = command.params, max(0, command.ttl_ms * MS - unread)
+        dispatcher = self.frontend.dispatcher
+        if command.is_write and not command.has_idempotency_key and dispatcher.needs_idempotency_key(command.profile):
+            pending_answer.set_answer(b"CLIENT_ERROR a keyed write without its key\r\n")
+            return
         arrival = IncomingTx(
-            params["c"],
+            command.profile,
             self.share_name(command),
             command.key.decode("latin-1"),
-            ttl,
-            params.get("r") == "1",
+            max(0, command.ttl_ms * MS - unread),
+            command.is_retry,
             command.is_write,
             command,
             self.incoming,
             unread,
         )
-        pending_answer.tx = self.frontend.dispatcher.tx_arrived(arrival, pending_answer)
+        pending_answer.tx = dispatcher.tx_arrived(arrival, pending_answer)
         if pending_answer.tx < 0:
             pending_answer.set_answer(b"CLIENT_ERROR unknown profile\r\n")
 
@@ -339,7 +342,7 @@
 
     def share_name(self, command: meta.Command) -> str:
         """Returns the name of the share that the command counts towards."""
-        return command.params.get("tenant", "")
+        return command.share
 
     def answer_ready(self, pending_answer: PendingAnswer) -> None:
         """Hook for subclasses: an answer is known, but maybe not written yet."""
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -239,6 +239,11 @@
 
     # ---- transactions ----
 
+    def needs_idempotency_key(self, profile: str) -> bool:
+        """Whether a write of this profile is known by its key, without which a repeat could run twice."""
+        index = self.names.profiles.get(profile)
+        return index is not None and self.config.profiles[index].semantics is m.Semantics.JOURNALLED
+
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
         """Accepts a transaction and returns its id, or -1 for an unknown profile.
 
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -21,6 +21,8 @@
 MAX_KEY_BYTES = 250
 PRINTABLE = re.compile(rb"[!-~]+")
 MAX_TTL_MS = 10**9
+MAX_WORDS = 24  # of a command line, as in memcached
+MAX_PARAMS = 64
 KNOWN_ANSWERS = {b"VA", b"HD", b"EN", b"MN", b"NF", b"EX", b"ERROR", b"CLIENT_ERROR", b"SERVER_ERROR"}
 # The flags of a response to a read (h1: hit, h0: miss, Z: another fetch is in progress) as HopEnded.cache_result.
 CACHE_RESULTS = {(b"h1", False): 1, (b"h0", False): 2, (b"h0", True): 3}
@@ -28,15 +30,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Command:
-    """A transaction as the client wrote it."""
+    """A transaction as the client wrote it. The time to wait is written anew for each cache host."""
 
     verb: bytes
     key: bytes
-    flags: tuple[bytes, ...]  # as received; the P flag, which holds the parameters, is at index `params_at`
-    params_at: int
     id: bytes
-    params: dict[str, str]
+    profile: str
+    share: str  # the tenant, where the deployment has some
+    is_retry: bool
+    has_idempotency_key: bool
     ttl_ms: int
+    flags_before_ttl: bytes
+    flags_after_ttl: bytes
     value: bytes | None
     stream_length: int = 0  # the length of a streamed value, whose chunks follow
 
@@ -50,16 +55,12 @@
 
     def forward(self, wait_ms: int) -> bytes:
         """Returns the command for a cache host: as received, apart from the time `d` to wait for the answer."""
-        flags = list(self.flags)
-        params = flags[self.params_at][1:].split(b",")
-        updated = [b"d=%d" % wait_ms if param.startswith(b"d=") else param for param in params]
-        flags[self.params_at] = b"P" + b",".join(updated)
+        flags = b"%b%d%b" % (self.flags_before_ttl, wait_ms, self.flags_after_ttl)
         if self.stream_length:
-            return b" ".join((self.verb, self.key, b"%d" % self.stream_length, *flags)) + b"\r\n"
+            return b"%b %b %d %b\r\n" % (self.verb, self.key, self.stream_length, flags)
         if self.value is None:
-            return b" ".join((self.verb, self.key, *flags)) + b"\r\n"
-        head = b" ".join((self.verb, self.key, b"%d" % len(self.value), *flags))
-        return b"%b\r\n%b\r\n" % (head, self.value)
+            return b"%b %b %b\r\n" % (self.verb, self.key, flags)
+        return b"%b %b %d %b\r\n%b\r\n" % (self.verb, self.key, len(self.value), flags, self.value)
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,14 +170,21 @@
     return f"unexpected {verb.decode()}, {size} bytes" if verb in KNOWN_ANSWERS else f"unexpected line of {size} bytes"
 
 
+def split_words(line: bytes) -> list[bytes]:
+    """Returns the words of a line, which spaces alone separate."""
+    return [word for word in line.split(b" ") if word]
+
+
 def parse_command(words: list[bytes]) -> Command | InvalidCommand:
     """Parses a command line. The value of a write is added when it has arrived."""
     if len(words) < 2 or not 0 < len(words[1]) <= MAX_KEY_BYTES:
         return InvalidCommand(b"CLIENT_ERROR bad key")
-    flags = tuple(words[3:] if words[0] == b"ms" else words[2:])
+    if len(words) > MAX_WORDS or not PRINTABLE.fullmatch(b"".join(words)):
+        return InvalidCommand(b"CLIENT_ERROR bad flags")
+    flags = words[3:] if words[0] == b"ms" else words[2:]
     # A command that a cache host cannot parse would cost a connection to it and count as its failure.
     unknown = any(f != b"v" and f[:1] not in (b"O", b"P") for f in flags)
-    if unknown or flags.count(b"v") != (words[0] == b"mg") or not PRINTABLE.fullmatch(b"".join(words)):
+    if unknown or flags.count(b"v") != (words[0] == b"mg"):
         return InvalidCommand(b"CLIENT_ERROR bad flags")
     ids = [f[1:] for f in flags if f[:1] == b"O"]
     param_indices = [i for i, f in enumerate(flags) if f[:1] == b"P"]
@@ -184,18 +192,39 @@
         return InvalidCommand(b"CLIENT_ERROR bad id")
     if len(param_indices) != 1:
         return InvalidCommand(b"CLIENT_ERROR bad names")
-    try:
-        text = flags[param_indices[0]][1:].decode("ascii")
-        pairs = [pair.split("=", 1) for pair in text.split(",")]
-        params = {name: value for name, value in pairs}
-    except ValueError:
+    return _parse_params(words, flags, param_indices[0], ids[0])
+
+
+def _parse_params(words: list[bytes], flags: list[bytes], at: int, request_id: bytes) -> Command | InvalidCommand:
+    """Parses the parameters in the flag at index `at`, and returns the command."""
+    if flags[at].count(b",") >= MAX_PARAMS:
+        return InvalidCommand(b"CLIENT_ERROR too many names")
+    pairs = [pair.partition(b"=") for pair in flags[at][1:].split(b",")]
+    if not all(name and equals for name, equals, _ in pairs):
         return InvalidCommand(b"CLIENT_ERROR bad names")
-    if len(params) != len(pairs) or not params.get("c"):
+    params = {name: value for name, _, value in pairs}
+    if len(params) != len(pairs) or not params.get(b"c"):
         return InvalidCommand(b"CLIENT_ERROR bad profile")
-    ttl = parse_length(params.get("d", "").encode())
+    ttl = parse_length(params.get(b"d", b""))
     if not 0 < ttl <= MAX_TTL_MS:
         return InvalidCommand(b"CLIENT_ERROR bad time")
-    return Command(words[0], words[1], flags, param_indices[0], ids[0], params, ttl, None)
+    ttl_at = list(params).index(b"d")
+    texts = [name + equals + value for name, equals, value in pairs]
+    before = [*flags[:at], b"P" + b",".join([*texts[:ttl_at], b"d="])]
+    after = [b",".join([b"", *texts[ttl_at + 1 :]]), *flags[at + 1 :]]
+    return Command(
+        verb=words[0],
+        key=words[1],
+        id=request_id,
+        profile=params[b"c"].decode("ascii"),
+        share=params.get(b"tenant", b"").decode("ascii"),
+        is_retry=params.get(b"r") == b"1",
+        has_idempotency_key=bool(params.get(b"k")),
+        ttl_ms=ttl,
+        flags_before_ttl=b" ".join(before),
+        flags_after_ttl=b" ".join(after),
+        value=None,
+    )
 
 
 @dataclass(slots=True)
@@ -299,7 +328,7 @@
         if end < 0:
             return self._fail(b"CLIENT_ERROR line too long", found) if end == -2 else -1
         self.line_count += 1
-        words = bytes(self.buffer[at:end]).split()
+        words = split_words(bytes(self.buffer[at:end]))
         verb = words[0] if words else b""
         if verb == b"mn":
             found.append(NoOp())
