--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -28,3 +28,13 @@
 # Guards against: a request that is not in the form of the protocol is forwarded, and answered as served.
 def test_a_request_that_is_not_sound_is_not_served() -> None:
     assert run_play("unsound", shape()) == []
+
+
+# Guards against: the id of an open request, or of one whose client left, is taken as new: it runs twice.
+def test_an_id_that_is_known_runs_once_and_is_served_once() -> None:
+    assert run_play("id-again", shape()) == []
+
+
+# Guards against: the same at the other process of an upgrade.
+def test_an_id_that_is_known_to_the_other_process_runs_once() -> None:
+    assert run_play("id-again-beside", shape(size=6)) == []
