An id that is open or may have run is not new, at either process of an upgrade

Cause: ids were passed on and never compared. The answer is CLIENT_ERROR and no refusal, which would promise that a retry is harmless. What provably never ran is forgotten with its answer.

--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -24,6 +24,7 @@
 from ternquay.net.listing import Address, HostEntry
 from ternquay.net.loop_timing import LoopTiming
 from ternquay.net.pool import Pool
+from ternquay.net.request_ids import IdTable, RequestIds
 from ternquay.net.safety import CloseReason, ServerCloseReason
 from ternquay.net.start_times import StartTimes
 
@@ -57,6 +58,7 @@
     refresh_lists: Callable[[set[str]], None] = lambda ids: None  # of the tenants with these ids
     # For a member of a fleet that is fenced: how long new transactions of a tenant are told to wait, 0 if it is not.
     admission_delay: Callable[[str], int] | None = None
+    request_ids: IdTable = field(default_factory=IdTable)
 
 
 class NameIndex(dict[str, int]):
@@ -263,6 +265,7 @@
         self.dispatcher = TenantDispatcher(
             reactor, decision_config(resources.process, tenant), decision_names(tenant, self.zones), self.limits
         )
+        self.dispatcher.request_ids = RequestIds(resources.request_ids, self.id)
         self.dispatcher.list_received, self.dispatcher.shared_hop_ended = self._list_received, self._shared_hop_ended
         self.pool = self.dispatcher.pool = TenantPool(
             resources.scheduler, self.id, reactor, self.dispatcher, self.limits, self.sockets, True
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -9,7 +9,7 @@
 from zope.interface import implementer
 
 from ternquay.net import meta
-from ternquay.net.dispatcher import IncomingTx
+from ternquay.net.dispatcher import KNOWN_REQUEST_ID, UNKNOWN_PROFILE, IncomingTx
 from ternquay.net.driver import Driver
 from ternquay.net.limits import MS
 from ternquay.net.request_deadline import RequestDeadline
@@ -332,8 +332,11 @@
             unread,
         )
         pending_answer.tx = dispatcher.tx_arrived(arrival, pending_answer)
-        if pending_answer.tx < 0:
+        if pending_answer.tx == UNKNOWN_PROFILE:
             pending_answer.set_answer(b"CLIENT_ERROR unknown profile\r\n")
+        elif pending_answer.tx == KNOWN_REQUEST_ID:
+            # Not a refusal, which would promise that a retry is harmless: the request of this id may have run.
+            pending_answer.set_answer(b"CLIENT_ERROR the id is not new\r\n")
 
     def first_byte_since(self) -> int:
         """Returns the earliest time at which its first bytes may have arrived; 0: they waited no longer than others."""
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -19,10 +19,16 @@
 from ternquay.net.limits import SECOND, Limits
 from ternquay.net.listing import Address, HostEntry
 from ternquay.net.log_limiter import LogRateLimiter
+from ternquay.net.request_ids import RequestIds
 from ternquay.net.safety import Attempt, RequestRefusal, SafetyMonitor
 from ternquay.net.value_stream import ValueStream
 
 
+# Returned in place of the id of a transaction that is not accepted.
+UNKNOWN_PROFILE = -1
+KNOWN_REQUEST_ID = -2
+
+
 class DelayedCall(Protocol):
     """A call that the reactor will make."""
 
@@ -143,6 +149,7 @@
         self.config = config
         self.log = LogRateLimiter(clock.seconds, limits.warning_interval).log
         self.safety = SafetyMonitor(self.now, self.log)
+        self.request_ids = RequestIds()
         self.balancer = decisions(config)
         self.decision_timer: DelayedCall | None = None  # the decisions have a single timer
         self.random = Random(f"{config.seed}.{config.balancer_index}")
@@ -245,13 +252,13 @@
         return index is not None and self.config.profiles[index].semantics is m.Semantics.JOURNALLED
 
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
-        """Accepts a transaction and returns its id, or -1 for an unknown profile.
+        """Accepts a transaction and returns its id, or UNKNOWN_PROFILE or KNOWN_REQUEST_ID.
 
-        The requester receives one answer, possibly before this method returns.
+        The requester of an accepted one receives one answer, possibly before this method returns.
         """
         profile = self.names.profiles.get(arrival.profile)
         if profile is None:
-            return -1
+            return UNKNOWN_PROFILE
         tx = OpenTx(
             self.next_tx_id,
             requester,
@@ -265,6 +272,9 @@
             self.safety.record_request_refusal(RequestRefusal.REQUESTS, requester.id)
             requester.roll_back(self.jittered(self.limits.retry_after))
             return tx.id
+        if not self.request_ids.claim(requester.id(), tx.arrived_at, arrival.ttl):
+            self.safety.record_known_request_id(requester.id)
+            return KNOWN_REQUEST_ID
         tx.client_seen_at = tx.arrived_at - arrival.unread_for
         self.open_txs[tx.id] = tx
         self.buffered_bytes += arrival.message.size()
@@ -330,6 +340,8 @@
         tx.answered = True
         cancel_call(tx.hard_limit_call)
         self.buffered_bytes -= tx.message.size()
+        if not any(hop.written for hop in tx.hops):
+            self.request_ids.forget(tx.requester.id())
         if not tx.hops_in_flight:
             del self.open_txs[tx.id]
 
--- a/ternquay/net/replacement.py
+++ b/ternquay/net/replacement.py
@@ -16,6 +16,7 @@
 from ternquay.net.discovery import Discovery
 from ternquay.net.dispatcher import Dispatcher
 from ternquay.net.limits import MS, SECOND
+from ternquay.net.request_ids import RequestIds, SharedIdTable
 from ternquay.net.sockets import Sockets
 
 POLL_INTERVAL_NS = 100 * MS  # of the other process's slot and note
@@ -42,7 +43,8 @@
 
     def __init__(self, service: ReplaceableService, folder: Path) -> None:
         """Opens the slots. Raises OSError if the folder can't be used."""
-        self.service, self.slots = service, Slots(folder)
+        self.service, self.slots, self.folder = service, Slots(folder), folder
+        self.id_table: SharedIdTable | None = None
         limits = service.dispatcher.limits
         self.ceilings = SocketCeilings(limits.sockets + limits.spare, limits.successor_sockets)
         self.other_present = self.is_successor = self.other_serves = self.ended = False
@@ -74,6 +76,7 @@
         self.service.reactor.callLater(POLL_INTERVAL_NS / SECOND, step)
 
     def _slot_acquired(self) -> None:
+        self._share_request_ids()
         self.other_since = self.service.dispatcher.now()
         self.other_present = self.is_successor = self.slots.other_held()
         self._update_ceiling(None)
@@ -82,6 +85,15 @@
             self.service.dispatcher.set_cold_fraction(0.5)
         self.poll()
 
+    def _share_request_ids(self) -> None:
+        """Shares the ids of requests with the other process, as clients may come with the same id to either."""
+        try:
+            self.id_table = SharedIdTable(self.folder, self.slots.index)
+        except OSError as fault:
+            logger.warning("request ids can't be shared with the other process: {}", fault.strerror)
+            return
+        self.service.dispatcher.request_ids = RequestIds(self.id_table)
+
     def poll(self) -> None:
         """Exchanges notes with the other process, if there is one, and adjusts the limit on sockets."""
         if self.ended:
@@ -165,4 +177,6 @@
     def stop(self) -> None:
         """Releases the slot."""
         self.ended = True
+        if self.id_table is not None:
+            self.id_table.close()
         self.slots.release()
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -143,7 +143,7 @@
         self.attempt_refusals: Counter[AttemptRefusal] = Counter()
         self.request_refusals: Counter[RequestRefusal] = Counter()
         self.violations: Counter[Violation] = Counter()
-        self.retries = 0
+        self.retries = self.known_request_ids = 0
         self.events: deque[Event] = deque(maxlen=MAX_EVENTS)
 
     def may_begin(
@@ -186,6 +186,11 @@
         if reason is not RequestRefusal.DECISIONS:  # too frequent: these would displace all other events
             self._record_event("request refused", reason, request())
 
+    def record_known_request_id(self, request: Callable[[], str]) -> None:
+        """Records that a request was not accepted, as its id is open or may have run."""
+        self.known_request_ids += 1
+        self._record_event("request not accepted", "its id is not new", request())
+
     def may_answer(self, already_answered: bool, request: Callable[[], str]) -> bool:
         """Whether a request may be answered. `already_answered`: it was already answered, which is a violation."""
         if already_answered:
@@ -197,6 +202,7 @@
         return "\n".join(
             [
                 f"ternquay_attempts_repeated_total {self.retries}",
+                f"ternquay_requests_known_id_total {self.known_request_ids}",
                 *metric_lines("client_closes", self.client_closes, CloseReason),
                 *metric_lines("server_closes", self.server_closes, ServerCloseReason),
                 *metric_lines("attempts_not_begun", self.attempt_refusals, AttemptRefusal),
