Requests of an old backlog begin only once their client is known to be there

Cause: the time that bytes had waited was known for one turn of the loop, and a close behind megabytes of unread requests is not visible to the system: it stands behind bytes that the client's own buffer still holds.

--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -97,6 +97,7 @@
         if not self.unread_since:
             self.unread_since = self.first_byte_since() or frontend.loop_timing.earliest_arrival
         self.unreported_bytes += len(data)
+        self.record_read(len(data))
         self.parser.buffer_data(data)
         if self.waiting or self.answers_full:
             self.count_buffered()
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -1,6 +1,7 @@
 """One client connection: reads requests and writes their answers in the order of the requests."""
 
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from twisted.internet.interfaces import IPullProducer
@@ -12,6 +13,7 @@
 from ternquay.net.dispatcher import KNOWN_REQUEST_ID, UNKNOWN_PROFILE, IncomingTx
 from ternquay.net.driver import Driver
 from ternquay.net.limits import MS
+from ternquay.net.receive_backlog import ReceiveBacklog
 from ternquay.net.request_deadline import RequestDeadline
 from ternquay.net.safety import CloseReason, RequestRefusal, may_close
 from ternquay.net.value_stream import ValueStream
@@ -60,6 +62,9 @@
     def has_left(self) -> bool:
         return self.client.ended or self.client.peer_closed()
 
+    def may_have_left(self) -> bool:
+        return self.client.backlog.is_old(self.dispatcher.now()) and bool(self.client._peek())
+
     def set_answer(self, text: bytes) -> None:
         if not self.client.frontend.safety.may_answer(self.answer is not None, self.id):
             return
@@ -71,6 +76,16 @@
             self.client.flush()
 
 
+@dataclass(frozen=True, slots=True)
+class UnverifiedRequest:
+    """A request that is begun once its client is known to be there. Times are integer nanoseconds."""
+
+    command: meta.Command
+    pending_answer: PendingAnswer
+    read_at: int
+    unread: int  # the longest time that it had waited to be read by then
+
+
 @implementer(IPullProducer)
 class ClientConnection(Driver):
     """The protocol of one client connection.
@@ -94,6 +109,9 @@
         self.incoming: ValueStream | None = None  # the large value that is arriving
         self.last_activity = 0  # when bytes were last read or written
         self.accepted_at = 0
+        self.backlog = ReceiveBacklog()
+        self.unverified: list[UnverifiedRequest] = []  # read from an old backlog, in order
+        self.seen_at = 0  # when the client was last found connected, with requests to handle
         self.accepted_iteration = 0  # the loop iteration in which it was accepted
         self.readable_since = 0  # the earliest time at which its first bytes may have arrived; 0 once they are read
         self.catch_up_until = 0  # bytes read until this time count as having arrived at `last_arrival`
@@ -112,6 +130,10 @@
         self.ended = self.transport_closed = True
         self.frontend.client_disconnected(self)
         self.frontend.sockets.descriptor_freed(self)
+        self._end_pending()
+
+    def _end_pending(self) -> None:
+        """Ends the transactions whose answers nobody waits for any more."""
         pending, self.pending = self.pending, deque()
         for item in pending:
             if isinstance(item, PendingAnswer) and item.stream is not None:
@@ -123,11 +145,24 @@
         if self.ended or self.closing:
             return
         self.unreported_bytes += len(data)
+        self.record_read(len(data))
         self.frontend.mark_busy(self)
         self.handle_items(self.parser.feed(data))
 
+    def record_read(self, size: int) -> None:
+        """Records a read from the socket of so many bytes."""
+        now = self.frontend.dispatcher.now()
+        waited = self.frontend.loop_timing.max_unread_time(now, self.first_byte_since())
+        self.backlog.record_read(now, now - waited, size >= self.transport.bufferSize)
+
     def handle_items(self, items: "list[meta.RequestItem]") -> None:
         """Handles parsed items and writes the answers that are ready afterwards."""
+        if any(isinstance(item, meta.Command) for item in items):
+            # A large backlog is read in many loop iterations, and its client may have closed long before the last.
+            if self.peer_closed():
+                self.client_departed()
+                return
+            self.seen_at = self.frontend.dispatcher.now()
         self.in_read = True
         if items or not self.parser.awaits_no_value():
             self.frontend.awaiting_first_command.pop(self, None)
@@ -154,6 +189,14 @@
         self.readable_since = 0
         self.flush()
 
+    def client_departed(self) -> None:
+        """The client has closed its connection, and none of the requests that are unread or open is sent on."""
+        self.ended = True
+        self.parser.stop()
+        self.frontend.release_memory(self)
+        self._end_pending()
+        self.transport.abortConnection()
+
     def update_deadline(self) -> None:
         """Starts, moves or ends the deadline of an incomplete request."""
         arrived, self.unreported_bytes = self.unreported_bytes, 0
@@ -299,10 +342,44 @@
             )
         refusal = self.refusal(late)
         if refusal is not None:
-            self.frontend.safety.record_request_refusal(refusal, pending_answer.id)
-            pending_answer.roll_back(self.frontend.dispatcher.jittered(self.frontend.limits.retry_after))
+            self.refuse(pending_answer, refusal)
+            return
+        unread = loop_timing.max_unread_time(now, self.first_byte_since())
+        if not self.backlog.is_old(now):
+            self.begin_transaction(command, pending_answer, unread)
+        elif command.stream_length:
+            # The bytes behind its first line are unread, so the client can't be known to be there.
+            self.refuse(pending_answer, RequestRefusal.BACKLOG)
+        else:
+            self.unverified.append(UnverifiedRequest(command, pending_answer, now, unread))
+            if len(self.unverified) == 1:
+                # The loop polls between two delayed calls, and reads what is left.
+                self.frontend.reactor.callLater(0, self.frontend.reactor.callLater, 0, self.begin_unverified)
+
+    def begin_unverified(self) -> None:
+        """Begins the requests that were read from an old backlog if all of it is read and the client is there."""
+        waiting, self.unverified = self.unverified, []
+        if self.ended:
+            return
+        if self.peer_closed():
+            self.client_departed()
             return
-        self.begin_transaction(command, pending_answer, loop_timing.max_unread_time(now, self.first_byte_since()))
+        now = self.frontend.dispatcher.now()
+        more_unread = bool(self._peek())
+        if not more_unread:
+            self.seen_at = now
+        for request in waiting:
+            if request.pending_answer.answer is not None or self.ended:
+                continue
+            if more_unread:
+                self.refuse(request.pending_answer, RequestRefusal.BACKLOG)
+            else:
+                self.begin_transaction(request.command, request.pending_answer, request.unread + now - request.read_at)
+
+    def refuse(self, pending_answer: PendingAnswer, reason: RequestRefusal) -> None:
+        """Refuses a request that was not begun."""
+        self.frontend.safety.record_request_refusal(reason, pending_answer.id)
+        pending_answer.roll_back(self.frontend.dispatcher.jittered(self.frontend.limits.retry_after))
 
     def refusal(self, late: bool) -> RequestRefusal | None:
         """Returns why a request is refused before the decisions see it, or None."""
@@ -329,7 +406,7 @@
             command.is_write,
             command,
             self.incoming,
-            unread,
+            max(self.seen_at, dispatcher.now() - unread),
         )
         pending_answer.tx = dispatcher.tx_arrived(arrival, pending_answer)
         if pending_answer.tx == UNKNOWN_PROFILE:
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -20,10 +20,9 @@
 from ternquay.net.listing import Address, HostEntry
 from ternquay.net.log_limiter import LogRateLimiter
 from ternquay.net.request_ids import RequestIds
-from ternquay.net.safety import Attempt, RequestRefusal, SafetyMonitor
+from ternquay.net.safety import Attempt, AttemptRefusal, RequestRefusal, SafetyMonitor
 from ternquay.net.value_stream import ValueStream
 
-
 # Returned in place of the id of a transaction that is not accepted.
 UNKNOWN_PROFILE = -1
 KNOWN_REQUEST_ID = -2
@@ -68,6 +67,10 @@
         """Whether the client has disconnected, according to the operating system. The loop may not know yet."""
         ...
 
+    def may_have_left(self) -> bool:
+        """Whether so much is unread of the client that a disconnect behind it would not be known."""
+        ...
+
 
 @dataclass(slots=True, frozen=True)
 class IncomingTx:
@@ -81,7 +84,7 @@
     is_write: bool
     message: Any
     stream: ValueStream | None = None  # a value that is still arriving
-    unread_for: int = 0  # the longest time that it may have waited to be read
+    client_seen_at: int = 0  # when its client was last known to be connected
 
 
 @dataclass(slots=True, eq=False)
@@ -275,7 +278,7 @@
         if not self.request_ids.claim(requester.id(), tx.arrived_at, arrival.ttl):
             self.safety.record_known_request_id(requester.id)
             return KNOWN_REQUEST_ID
-        tx.client_seen_at = tx.arrived_at - arrival.unread_for
+        tx.client_seen_at = arrival.client_seen_at
         self.open_txs[tx.id] = tx
         self.buffered_bytes += arrival.message.size()
         ttl, is_retry = arrival.ttl, arrival.is_retry
@@ -386,18 +389,20 @@
             hop.begin_by,
             stale=not hop.deferred and self.process_stalled(self.now()),
         )
-        return self.safety.may_begin(attempt, lambda: self._client_left(hop.tx), hop.tx.requester.id) is None
+        return self.safety.may_begin(attempt, lambda: self._presence_refusal(hop.tx), hop.tx.requester.id) is None
 
-    def _client_left(self, tx: OpenTx) -> bool:
-        """Whether the client has disconnected, according to the operating system."""
+    def _presence_refusal(self, tx: OpenTx) -> AttemptRefusal | None:
+        """Returns why nothing may begin for this client: it has disconnected, or it may have."""
         now = self.now()
         if now - tx.client_seen_at <= self.limits.presence_check_after:
-            return False
+            return None
         if tx.requester.has_left():
             self.client_gone(tx.id)
-            return True
+            return AttemptRefusal.DEPARTED
+        if tx.fully_received and tx.requester.may_have_left():
+            return AttemptRefusal.UNSEEN
         tx.client_seen_at = now
-        return False
+        return None
 
     def _start_timeout(self, hop: OutgoingHop) -> None:
         hop.timeout = self.call_at(hop.deadline + 1000, self._give_up_hop, hop, m.HopOutcome.TIMED_OUT)
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -25,6 +25,7 @@
     FORGOTTEN = "a repeat would no longer be known as one"
     STALE = "it was decided on before the process stood still"
     DEPARTED = "the client has gone"
+    UNSEEN = "the client may have closed behind what is unread"
 
 
 class CloseReason(StrEnum):
@@ -65,6 +66,7 @@
     REQUESTS = "too many requests are open"
     SHARE = "its tenant has too many requests open"
     MEMORY = "there is no memory for it"
+    BACKLOG = "it was read late, and its client may have closed behind what is unread"
 
 
 class Violation(StrEnum):
@@ -101,8 +103,11 @@
     request: str = ""
 
 
-def attempt_refusal(attempt: Attempt, now: int, departed: Callable[[], bool]) -> AttemptRefusal | None:
-    """Returns why the attempt may not start now, or None. `departed` costs a system call, so it is called last."""
+def attempt_refusal(attempt: Attempt, now: int, presence: Callable[[], AttemptRefusal | None]) -> AttemptRefusal | None:
+    """Returns why the attempt may not start now, or None.
+
+    `presence` returns why it may not for its client. It costs a system call, so it is called last.
+    """
     if attempt.answered:
         return AttemptRefusal.ANSWERED
     if attempt.fully_received and now >= attempt.deadline:
@@ -111,7 +116,7 @@
         return AttemptRefusal.FORGOTTEN
     if attempt.stale:
         return AttemptRefusal.STALE
-    return AttemptRefusal.DEPARTED if departed() else None
+    return presence()
 
 
 def may_close(reason: CloseReason, owes_answer: bool, unread: bool = False) -> bool:
@@ -147,11 +152,11 @@
         self.events: deque[Event] = deque(maxlen=MAX_EVENTS)
 
     def may_begin(
-        self, attempt: Attempt, departed: Callable[[], bool], request: Callable[[], str]
+        self, attempt: Attempt, presence: Callable[[], AttemptRefusal | None], request: Callable[[], str]
     ) -> AttemptRefusal | None:
         """Returns why the attempt may not start now, or None. After None, the caller must write its first byte
         immediately."""
-        refusal = attempt_refusal(attempt, self.now(), departed)
+        refusal = attempt_refusal(attempt, self.now(), presence)
         if refusal is not None:
             self.attempt_refusals[refusal] += 1
             self._record_event("attempt not begun", refusal, request())
--- a/tests/fault_harness.py
+++ b/tests/fault_harness.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from functools import cache
 from itertools import count
+from multiprocessing import get_context
 from pathlib import Path
 from typing import Any
 
@@ -433,3 +434,51 @@
     def served(self) -> float:
         """Returns the share of requests that were served."""
         return sum(reply.served for reply in self.replies) / max(1, len(self.replies))
+
+
+async def measure_lag(worst: list[float]) -> None:
+    """Records the longest delay of a turn of this loop as worst[0]."""
+    while True:
+        before = time.monotonic()
+        await asyncio.sleep(0)
+        worst[0] = max(worst[0], time.monotonic() - before)
+        await asyncio.sleep(0.001)
+
+
+def _serve_hosts(addresses: list[tuple[str, int]], delay_s: float, pipe: Any) -> None:
+    """Serves cache hosts until the pipe says so, then returns their attempts by it."""
+
+    async def serve() -> None:
+        hosts = [CacheHost(f"h{n}", value_answer(delay_s=delay_s)) for n in range(len(addresses))]
+        for host, address in zip(hosts, addresses, strict=True):
+            await host.start(address)
+        lag = [0.0]
+        meter = asyncio.ensure_future(measure_lag(lag))
+        pipe.send(None)
+        await asyncio.get_running_loop().run_in_executor(None, pipe.recv)
+        meter.cancel()
+        pipe.send(([attempt for host in hosts for attempt in host.attempts], lag[0]))
+
+    asyncio.run(serve())
+
+
+class HostsProcess:
+    """Cache hosts in a process of their own, so that their times are not those of a busy client."""
+
+    def __init__(self, number: int, delay_s: float) -> None:
+        addresses = [free_address() for _ in range(number)]
+        self.hosts = [CacheHost(f"h{n}", value_answer()) for n in range(number)]
+        for host, address in zip(self.hosts, addresses, strict=True):
+            host.address = address
+        self.pipe, other = get_context("spawn").Pipe()
+        self.process = get_context("spawn").Process(target=_serve_hosts, args=(addresses, delay_s, other), daemon=True)
+        self.process.start()
+        self.pipe.recv()
+
+    def attempts(self) -> tuple[list[Attempt], float]:
+        """Ends the process. Returns all attempts that it saw, and how late it may have seen them."""
+        self.pipe.send(None)
+        seen: list[Attempt]
+        seen, lag = self.pipe.recv()
+        self.process.kill()
+        return seen, lag
--- a/tests/fault_plays.py
+++ b/tests/fault_plays.py
@@ -25,6 +25,7 @@
     CacheHost,
     Client,
     Command,
+    HostsProcess,
     StartError,
     UsualClients,
     free_address,
@@ -247,19 +248,20 @@
     """A client writes thousands of requests and closes; none may be sent on over 0.1 s after the close."""
     found: list[str] = []
     random = shape.random
-    hosts = [CacheHost(f"h{n}", value_answer(delay_s=0.02)) for n in range(3)]
-    async with balancer(shape, hosts, found) as process:
+    hosts = HostsProcess(3, random.choice((0.02, 0.4)))
+    async with balancer(shape, hosts.hosts, found) as process:
         left: dict[str, float] = {}
 
         async def leaver(number: int) -> None:
             client = await Client.open(process.listen)
-            many = random.choice((500, 5_000, 20_000))
-            client.writer.write(b"".join(read(f"l{number}-{n}", f"k{random.randrange(9999)}") for n in range(many)))
-            await client.writer.drain()
-            await asyncio.sleep(random.choice((0, 0.05)))
+            many, size = random.choice(((500, 0), (5_000, 0), (20_000, 0), (100, 60_000), (250, 60_000)))
+            for n in range(many):
+                name, key = f"l{number}-{n}", f"k{random.randrange(9999)}"
+                client.writer.write(write(name, size, key) + b"x" * size + b"\r\n" if size else read(name, key))
             client.writer.close()
+            # The close follows the last byte that the system takes.
+            await client.writer.wait_closed()
             left[f"l{number}"] = time.monotonic()
-            await asyncio.sleep(0)
 
         async def trouble(until: float) -> None:
             number = 0
@@ -269,11 +271,12 @@
                 await asyncio.sleep(0.1)
 
         await beside_usual_clients(shape, process, found, trouble)
+        attempts, lag = hosts.attempts()
+        print(f"  the hosts saw attempts up to {lag:.3f} s late")
         late = [
             one.began_at - left[name]
-            for host in hosts
-            for one in host.attempts
-            if (name := one.id.partition("-")[0]) in left and one.began_at > left[name] + DEPARTED_S
+            for one in attempts
+            if (name := one.id.partition("-")[0]) in left and one.began_at > left[name] + DEPARTED_S + lag
         ]
         if late:
             found.append(f"{len(late)} attempts began up to {max(late):.2f} s after their client left")
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -200,11 +200,15 @@
     return data if len(data) < 90 else data[:60] + b"... %d bytes" % len(data)
 
 
+OPEN_PIPE = os.pipe()
+
+
 class Wire:
     """A transport without a socket. Written data stays in `pending` until take() accepts it, as the kernel would."""
 
     def __init__(self, net: "Net", name: str, protocol: Any) -> None:
         self.net, self.name, self.protocol, self.producer = net, name, protocol, None
+        self.bufferSize = 1 << 16
         self.pending, self.closing, self.lost, self.paused = b"", False, False, False
         self.unread: bytes | None = None  # b"": the peer closed its side
         self.silent_ms = 0  # since data last arrived, as the kernel reports it
@@ -240,6 +244,10 @@
     def getHandle(self) -> Any:
         return self
 
+    def fileno(self) -> int:
+        """A descriptor whose peer has not closed."""
+        return OPEN_PIPE[0]
+
     def recv(self, size: int, flags: int) -> bytes:
         if self.unread is None:
             raise BlockingIOError
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -38,3 +38,8 @@
 # Guards against: the same at the other process of an upgrade.
 def test_an_id_that_is_known_to_the_other_process_runs_once() -> None:
     assert run_play("id-again-beside", shape(size=6)) == []
+
+
+# Guards against: requests that lay unread behind others are sent on after their client has closed.
+def test_nothing_is_sent_on_for_a_client_that_closed_behind_unread_requests() -> None:
+    assert run_play("leaves-unread", shape(3)) + run_play("leaves-unread", shape(4)) == []
--- a/tests/test_stopped_clients.py
+++ b/tests/test_stopped_clients.py
@@ -426,7 +426,7 @@
 def test_an_attempt_starts_only_if_the_rules_allow_it(
     attempt: Attempt, departed: bool, why: AttemptRefusal | None
 ) -> None:
-    assert attempt_refusal(attempt, 5, lambda: departed) is why
+    assert attempt_refusal(attempt, 5, lambda: AttemptRefusal.DEPARTED if departed else None) is why
 
 
 def test_violations_of_the_rules_are_counted_and_recorded() -> None:
