--- a/tests/fault_plays.py
+++ b/tests/fault_plays.py
@@ -509,9 +509,9 @@
             size = random.choice((600_000, 2_000_000, 4_000_000))
             profile_name = random.choice(("clip", "copy", "note"))
             client = await Client.open(process.listen)
-            client.writer.write(write(f"s{number}", size, "big", 1000, profile_name) + b"x" * size + b"\r\n")
-            # The client has written its last byte when its buffer is empty.
+            # drain() returns when the system has taken the last byte.
             client.writer.transport.set_write_buffer_limits(0)
+            client.writer.write(write(f"s{number}", size, "big", 1000, profile_name) + b"x" * size + b"\r\n")
             with suppress(ConnectionError):
                 await client.writer.drain()
             reply = await client.read_reply(f"s{number}", time.monotonic(), 8)
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -43,3 +43,8 @@
 # Guards against: requests that lay unread behind others are sent on after their client has closed.
 def test_nothing_is_sent_on_for_a_client_that_closed_behind_unread_requests() -> None:
     assert run_play("leaves-unread", shape(3)) + run_play("leaves-unread", shape(4)) == []
+
+
+# Guards against: the final answer of a large request comes seconds after its time, as its server reads it slowly.
+def test_the_answer_of_a_large_request_comes_in_its_time_however_slowly_its_server_reads() -> None:
+    assert run_play("slow-server-reads", shape(size=6)) == []
