The time of a large request counts from the earliest that its last byte may be written

While its value is held back a request is now refused once its client may have waited for all its time, counted from the beginning of the backlog; it has not run, as its last byte went to no server.

--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -572,7 +572,7 @@
         tx = self.txs.get(event.tx)
         if tx is None or tx.ended or tx.fully_received:
             return
-        tx.fully_received, waited = True, self.now - tx.arrived_at
+        tx.fully_received, waited = True, self.now - tx.arrived_at - event.unread
         tx.goal_at, tx.deadline = tx.goal_at + waited, tx.deadline + waited
         self.timers.add(tx.deadline, tx.id)
         for hop in tx.hops:
--- a/ternquay/model.py
+++ b/ternquay/model.py
@@ -138,9 +138,10 @@
 
 @dataclass(slots=True, frozen=True)
 class TxFullyReceived:
-    """The last byte of a transaction arrived whose value was still arriving. Its time limits start here."""
+    """The last byte of a transaction was read whose value was still arriving. Its time limits start with that byte."""
 
     tx: int
+    unread: int = 0  # how long ago the byte may have arrived, in nanoseconds
 
 
 @dataclass(slots=True, frozen=True)
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from ternquay.net import meta
-from ternquay.net.dispatcher import KNOWN_REQUEST_ID, UNKNOWN_PROFILE, IncomingTx
+from ternquay.net.dispatcher import KNOWN_REQUEST_ID, UNKNOWN_PROFILE, DelayedCall, IncomingTx, cancel_call
 from ternquay.net.driver import Driver
 from ternquay.net.limits import MS
 from ternquay.net.receive_backlog import ReceiveBacklog
@@ -109,6 +109,7 @@
         self.incoming: ValueStream | None = None  # the large value that is arriving
         self.last_activity = 0  # when bytes were last read or written
         self.accepted_at = 0
+        self.value_call: DelayedCall | None = None  # the next check of a large value that is held back
         self.backlog = ReceiveBacklog()
         self.unverified: list[UnverifiedRequest] = []  # read from an old backlog, in order
         self.seen_at = 0  # when the client was last found connected, with requests to handle
@@ -134,6 +135,7 @@
 
     def _end_pending(self) -> None:
         """Ends the transactions whose answers nobody waits for any more."""
+        cancel_call(self.value_call)
         pending, self.pending = self.pending, deque()
         for item in pending:
             if isinstance(item, PendingAnswer) and item.stream is not None:
@@ -268,16 +270,46 @@
         self.catch_up_until = 0  # bytes that arrive from now on wait because of this pause
         if paused:
             self.held_since = self.last_activity
+            self.backlog.record_pause(self.last_activity)
+            self._watch_value()
         else:
             self.deadline.extend(self.last_activity - self.held_since)
 
+    def _watch_value(self) -> None:
+        """Sees to it that the request whose value is held back is answered in its time.
+
+        Its last byte may have been written as early as the backlog began, which is when the time of the request starts.
+        """
+        pending_answer = self.streaming
+        if pending_answer is not None and self.value_call is None:
+            due = self.backlog.since + pending_answer.command.ttl_ms * MS
+            self.value_call = self.frontend.dispatcher.call_at(due, self._check_value, pending_answer)
+
+    def _check_value(self, pending_answer: PendingAnswer) -> None:
+        """Refuses the request if its value may have been written completely for as long as its client waits."""
+        self.value_call = None
+        if self.ended or self.streaming is not pending_answer or not self.backlog.since:
+            return
+        if self.frontend.dispatcher.now() < self.backlog.since + pending_answer.command.ttl_ms * MS:
+            self._watch_value()  # the backlog was empty meanwhile
+        elif self.reading_paused or self._peek():
+            pending_answer.dispatcher.value_overdue(pending_answer.tx)
+
     def value_received(self) -> None:
         """The last byte of a large value arrived."""
         pending_answer, stream = self.streaming, self.incoming
+        if pending_answer is None or stream is None:
+            self.streaming = self.incoming = None
+            return
+        now = self.frontend.dispatcher.now()
+        unread = self.frontend.loop_timing.max_unread_time(now, self.first_byte_since())
+        if self.backlog.since:
+            unread = max(unread, now - self.backlog.since)
+        if unread >= pending_answer.command.ttl_ms * MS:
+            pending_answer.dispatcher.value_overdue(pending_answer.tx)
         self.streaming = self.incoming = None
-        if pending_answer is not None and stream is not None:
-            pending_answer.dispatcher.tx_fully_received(pending_answer.tx)
-            stream.finish()
+        pending_answer.dispatcher.tx_fully_received(pending_answer.tx, unread)
+        stream.finish()
 
     def discard_value(self) -> None:
         """Discards the rest of a large value as it arrives, because its transaction is already answered."""
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -303,18 +303,34 @@
         )
         return tx.id
 
-    def tx_fully_received(self, tx_id: int) -> None:
-        """The last byte of a streamed transaction arrived. Its time limits start here."""
+    def tx_fully_received(self, tx_id: int, unread: int) -> None:
+        """The last byte of a streamed transaction was read. Its time limits start `unread` nanoseconds earlier."""
         tx = self.open_txs.get(tx_id)
         if tx is None or tx.answered or tx.fully_received:
             return
         tx.fully_received, now = True, self.now()
-        tx.hard_limit_call = self.call_at(now + tx.ttl, self._hard_limit_passed, tx)
+        tx.hard_limit_call = self.call_at(now + tx.ttl - unread, self._hard_limit_passed, tx)
         for hop in tx.hops:
             if not hop.ended:
-                hop.sent_at, hop.deadline = now, hop.deadline + now - tx.arrived_at
+                hop.sent_at, hop.deadline = now, hop.deadline + now - tx.arrived_at - unread
                 self._start_timeout(hop)
-        self.handle_event(m.TxFullyReceived(tx.id))
+        self.handle_event(m.TxFullyReceived(tx.id, unread))
+
+    def value_overdue(self, tx_id: int) -> None:
+        """Refuses a streamed transaction whose value was held back for as long as its client waits. It has not run."""
+        tx = self.open_txs.get(tx_id)
+        if tx is None or tx.answered or tx.fully_received:
+            return
+        self._finish_tx(tx)
+        self._cut_off_hops(tx)
+        self.safety.record_request_refusal(RequestRefusal.VALUE_HELD, tx.requester.id)
+        tx.requester.roll_back(self.jittered(self.limits.retry_after))
+        self.handle_event(m.ClientGone(tx_id))
+
+    def _cut_off_hops(self, tx: OpenTx) -> None:
+        """Ends partly written hops, whose value will not go on, even where none may be cancelled."""
+        for hop in [hop for hop in tx.hops if not hop.ended]:
+            self._give_up_hop(hop, m.HopOutcome.CANCELLED)
 
     def client_gone(self, tx_id: int) -> None:
         """The client disconnected: the transaction needs no answer any more."""
@@ -322,9 +338,7 @@
         if tx is not None and not tx.answered:
             self._finish_tx(tx)
             if not tx.fully_received:
-                # The rest of the value will not arrive, so partly written hops end even where none may be cancelled.
-                for hop in [hop for hop in tx.hops if not hop.ended]:
-                    self._give_up_hop(hop, m.HopOutcome.CANCELLED)
+                self._cut_off_hops(tx)
             self.handle_event(m.ClientGone(tx_id))
 
     def _hard_limit_passed(self, tx: OpenTx) -> None:
--- a/ternquay/net/receive_backlog.py
+++ b/ternquay/net/receive_backlog.py
@@ -1,8 +1,8 @@
 """Since when bytes of one connection may lie unread, in this system's buffer or in that of the client.
 
 A client that writes faster than it is read may have closed long ago: the close comes behind its bytes, and nothing
-tells of it before they are read. So requests that are read from an old backlog are begun only once it is empty, and the time
-of a value that was held back is counted from its beginning.
+tells of it before they are read. So requests that are read from an old backlog are begun only once it is empty, and
+the time of a value that was held back is counted from its beginning.
 
 The module does no I/O; times are integer nanoseconds on the caller's monotonic clock.
 """
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -66,6 +66,7 @@
     REQUESTS = "too many requests are open"
     SHARE = "its tenant has too many requests open"
     MEMORY = "there is no memory for it"
+    VALUE_HELD = "no server took its value in time"
     BACKLOG = "it was read late, and its client may have closed behind what is unread"
 
 
