--- a/ternquay/net/receive_backlog.py
+++ b/ternquay/net/receive_backlog.py
@@ -19,15 +19,15 @@
     """The backlog of one connection."""
 
     since: int = 0  # the earliest time at which unread bytes may have been written; 0: there are none
-    emptied_at: int = 0  # when a read found less than it asked for; 0: there may be more
+    emptied_at: int = 0  # when the latest read left nothing unread; 0: there may be more
 
-    def record_read(self, now: int, arrived_after: int, full: bool) -> None:
-        """Records a read. `arrived_after`: its bytes were not there before. `full`: there may be more of them."""
+    def record_read(self, now: int, arrived_after: int, more: bool) -> None:
+        """Records a read. `arrived_after`: its bytes were not there before. `more`: it left some unread."""
         if self.since and self.emptied_at and arrived_after > self.emptied_at + QUIET_NS:
             self.since = 0
-        if full and not self.since:
+        if more and not self.since:
             self.since = arrived_after
-        self.emptied_at = 0 if full else now
+        self.emptied_at = 0 if more else now
 
     def record_pause(self, now: int) -> None:
         """Records that reading is paused."""
--- a/tests/test_receive_backlog.py
+++ b/tests/test_receive_backlog.py
@@ -5,8 +5,8 @@
 
 def backlog(*reads: tuple[int, int, bool]) -> ReceiveBacklog:
     one = ReceiveBacklog()
-    for now, arrived_after, full in reads:
-        one.record_read(now * MS, arrived_after * MS, full)
+    for now, arrived_after, more in reads:
+        one.record_read(now * MS, arrived_after * MS, more)
     return one
 
 
@@ -15,10 +15,11 @@
 
 
 def test_a_backlog_lasts_until_nothing_came_for_a_moment_after_it_was_empty() -> None:
-    assert backlog((100, 90, True), (200, 150, True)).since == 90 * MS
-    assert backlog((100, 90, True), (200, 150, False), (210, 204, False)).since == 90 * MS
-    assert backlog((100, 90, True), (200, 150, False), (210, 206, False)).since == 0
-    assert backlog((100, 90, True), (200, 150, False), (210, 206, True)).since == 206 * MS
+    assert backlog((100, 90, True), (200, 104, True)).since == 90 * MS
+    assert backlog((100, 90, True), (200, 104, False), (210, 204, False)).since == 90 * MS
+    assert backlog((100, 90, True), (200, 104, False), (210, 206, False)).since == 0
+    assert backlog((100, 90, True), (200, 150, True), (210, 206, False)).since == 90 * MS
+    assert backlog((100, 90, True), (200, 104, False), (210, 206, True)).since == 206 * MS
 
 
 def test_bytes_that_come_while_reading_is_paused_are_as_old_as_the_pause() -> None:
