Streams, known answers and open requests keep within the memory that there is for them

Cause: values over 64 KB were in no sum (up to two reads and two chunks each), known answers that wait behind another one neither, and an open request counted as 512 bytes with its value once. Now all streams share one budget and the more there are the smaller their pieces are; 16 KB at most are read at once; answers are written as the system takes them (a client that reads slowly was cut off at 2 MB); over the limit a client keeps its part, and an answer beyond it is refused, if its profile may run again, or told as failed; an open request counts 3 KB and its value twice.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -46,8 +46,16 @@
         if isinstance(answer, ValueStream):
             self.stream, answer.on_data = answer, self.client.flush
             self.set_answer(meta.value_header(self.command, answer.length))
+            return
+        text = meta.committed(self.command, answer)
+        if self.command.is_write or self.client.has_memory_for(len(text)):
+            self.set_answer(text)
+            return
+        self.client.frontend.safety.record_request_refusal(RequestRefusal.MEMORY, self.id)
+        if self.dispatcher.is_idempotent(self.command.profile):
+            self.roll_back(self.dispatcher.jittered(self.client.frontend.limits.retry_after))
         else:
-            self.set_answer(meta.committed(self.command, answer))
+            self.abandon()
 
     def roll_back(self, wait: int) -> None:
         self.set_answer(meta.rolled_back(wait // MS))
@@ -62,13 +70,14 @@
     def has_left(self) -> bool:
         return self.client.ended or self.client.peer_closed()
 
-    def may_have_left(self) -> bool:
-        return self.client.backlog.is_old(self.dispatcher.now()) and bool(self.client._peek())
+    def client_seen_at(self) -> int:
+        return self.client.connected_at()
 
     def set_answer(self, text: bytes) -> None:
         if not self.client.frontend.safety.may_answer(self.answer is not None, self.id):
             return
         self.answer = text
+        self.client.count_known(len(text))
         self.client.answer_ready(self)
         if self.client.streaming is self:
             self.client.discard_value()
@@ -103,6 +112,8 @@
         self.pending: deque[PendingAnswer | bytes] = deque()  # bytes: an answer that needs no transaction
         self.over_limit = self.closing = self.ended = self.in_read = self.answered = False
         self.queued_bytes = 0  # bytes that the operating system has not accepted yet
+        self.unsent_answer_bytes = 0  # of these, without those of large values
+        self.known_answer_bytes = 0  # of answers that are known and not written yet
         self.unsent_since = 0  # when it was first seen that no queued bytes are accepted; 0: not checked
         self.sent_before = 0  # bytes that the operating system had accepted at the last check
         self.streaming: PendingAnswer | None = None  # the request whose large value is arriving
@@ -125,6 +136,7 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         self.transport.registerProducer(self, False)
+        self.read_at_once(self.frontend.limits.read_bytes)
         self.frontend.client_connected(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -155,7 +167,8 @@
         """Records a read from the socket of so many bytes."""
         now = self.frontend.dispatcher.now()
         waited = self.frontend.loop_timing.max_unread_time(now, self.first_byte_since())
-        self.backlog.record_read(now, now - waited, size >= self.transport.bufferSize)
+        more = size >= self.transport.bufferSize and self._peek() is not None
+        self.backlog.record_read(now, now - waited, more)
 
     def handle_items(self, items: "list[meta.RequestItem]") -> None:
         """Handles parsed items and writes the answers that are ready afterwards."""
@@ -164,7 +177,7 @@
             if self.peer_closed():
                 self.client_departed()
                 return
-            self.seen_at = self.frontend.dispatcher.now()
+            self.seen_at = self.connected_at()
         self.in_read = True
         if items or not self.parser.awaits_no_value():
             self.frontend.awaiting_first_command.pop(self, None)
@@ -191,6 +204,11 @@
         self.readable_since = 0
         self.flush()
 
+    def connected_at(self) -> int:
+        """Returns the latest time at which the client had surely not closed, unless its close shows already."""
+        now = self.frontend.dispatcher.now()
+        return self.backlog.since if self.backlog.since and self._peek() else now
+
     def client_departed(self) -> None:
         """The client has closed its connection, and none of the requests that are unread or open is sent on."""
         self.ended = True
@@ -266,6 +284,7 @@
         if self.ended:
             return
         self.last_activity = self.frontend.dispatcher.now()
+        self.read_at_once(self.frontend.dispatcher.streams.piece_bytes())
         self.hold_reading(paused)
         self.catch_up_until = 0  # bytes that arrive from now on wait because of this pause
         if paused:
@@ -309,12 +328,14 @@
         if unread >= pending_answer.command.ttl_ms * MS:
             pending_answer.dispatcher.value_overdue(pending_answer.tx)
         self.streaming = self.incoming = None
+        self.read_at_once(self.frontend.limits.read_bytes)
         pending_answer.dispatcher.tx_fully_received(pending_answer.tx, unread)
         stream.finish()
 
     def discard_value(self) -> None:
         """Discards the rest of a large value as it arrives, because its transaction is already answered."""
         stream, self.streaming, self.incoming = self.incoming, None, None
+        self.read_at_once(self.frontend.limits.read_bytes)
         if stream is not None:
             stream.discard()
 
@@ -364,8 +385,9 @@
         if command.stream_length:
             self.streaming, self.incoming = (
                 pending_answer,
-                ValueStream(command.stream_length, self.frontend.limits.chunk_bytes, self.hold_stream),
+                ValueStream(command.stream_length, self.frontend.dispatcher.streams, self.hold_stream),
             )
+            self.read_at_once(self.frontend.dispatcher.streams.piece_bytes())
         now, loop_timing = self.frontend.dispatcher.now(), self.frontend.loop_timing
         # Under CPU overload, each further transaction delays all others, even beyond their hard limits.
         late = loop_timing.is_overrun(now)
@@ -439,7 +461,7 @@
             command.is_write,
             command,
             self.incoming,
-            max(self.seen_at, dispatcher.now() - unread),
+            self.seen_at,
         )
         pending_answer.tx = dispatcher.tx_arrived(arrival, pending_answer)
         if pending_answer.tx == UNKNOWN_PROFILE:
@@ -471,9 +493,13 @@
                 if not self.write_stream(first, first.stream):
                     return
                 text = b"\r\n"
+            if self.queued_bytes >= self.frontend.limits.write_ahead_bytes:
+                return  # goes on when the operating system has taken what is queued
             self.pending.popleft()
             self.answered = True
             self.write_answer(text)
+            if isinstance(first, PendingAnswer) and first.answer:
+                self.count_known(-len(first.answer))
         if not self.ended:
             if self.closing:
                 self.close(self.close_reason)
@@ -488,6 +514,7 @@
             return False
         if pending_answer.answer:
             self.write_chunk(pending_answer.answer)
+            self.count_known(-len(pending_answer.answer))
             pending_answer.answer = b""
             return False
         if self.queued_bytes:
@@ -506,15 +533,30 @@
         self.transport.write(data)
 
     def write_answer(self, text: bytes) -> None:
-        """Writes an answer, or closes the connection where too much is queued."""
-        unsent_answers = self.frontend.unsent_answers
+        """Writes an answer."""
         self.queued_bytes += len(text)
-        unsent_answers.set_size(self, unsent_answers.sizes.get(self, 0) + len(text))
+        self.unsent_answer_bytes += len(text)
+        self._count_unsent()
         self.last_activity = self.frontend.dispatcher.now()
-        if self.queued_bytes > self.frontend.limits.queued_bytes:
-            self.abort(CloseReason.ANSWERS_UNREAD)
-        else:
-            self.transport.write(text)
+        self.transport.write(text)
+
+    def count_known(self, size: int) -> None:
+        """Counts bytes of answers that are known and wait behind others."""
+        self.known_answer_bytes += size
+        self._count_unsent()
+
+    def _count_unsent(self) -> None:
+        if not self.ended:
+            self.frontend.unsent_answers.set_size(self, self.known_answer_bytes + self.unsent_answer_bytes)
+
+    def has_memory_for(self, size: int) -> bool:
+        """Whether an answer of this size may be kept until it is sent.
+
+        Over the memory limit each client may use its part of it, so that those that read their answers get them.
+        """
+        unsent, limit = self.frontend.unsent_answers, self.frontend.limits.buffered_bytes
+        part = limit // max(1, len(unsent.sizes))
+        return unsent.total + size <= limit or unsent.sizes.get(self, 0) + size <= part
 
     def pending_ids(self) -> list[str]:
         """Returns the ids of requests whose answers are not written yet, known or not."""
@@ -543,14 +585,10 @@
     def resumeProducing(self) -> None:
         """Called by the transport when the operating system has accepted all written bytes."""
         if self.queued_bytes:
-            self.frontend.unsent_answers.release(self)
-            self.queued_bytes = self.unsent_since = 0
+            self.queued_bytes = self.unsent_answer_bytes = self.unsent_since = 0
+            self._count_unsent()
             self.last_activity = self.frontend.dispatcher.now()
-            first = self.pending[0] if self.pending else None
-            if isinstance(first, PendingAnswer) and first.stream is not None:
-                self.flush()
-            else:
-                self.frontend.mark_idle(self)
+            self.flush()
 
     def stopProducing(self) -> None:
         pass
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -21,7 +21,7 @@
 from ternquay.net.log_limiter import LogRateLimiter
 from ternquay.net.request_ids import RequestIds
 from ternquay.net.safety import Attempt, AttemptRefusal, RequestRefusal, SafetyMonitor
-from ternquay.net.value_stream import ValueStream
+from ternquay.net.value_stream import StreamBudget, ValueStream
 
 # Returned in place of the id of a transaction that is not accepted.
 UNKNOWN_PROFILE = -1
@@ -67,8 +67,8 @@
         """Whether the client has disconnected, according to the operating system. The loop may not know yet."""
         ...
 
-    def may_have_left(self) -> bool:
-        """Whether so much is unread of the client that a disconnect behind it would not be known."""
+    def client_seen_at(self) -> int:
+        """Returns the latest time at which the client had surely not disconnected, unless has_left()."""
         ...
 
 
@@ -153,6 +153,7 @@
         self.log = LogRateLimiter(clock.seconds, limits.warning_interval).log
         self.safety = SafetyMonitor(self.now, self.log)
         self.request_ids = RequestIds()
+        self.streams = StreamBudget(limits.buffered_bytes, limits.chunk_bytes)
         self.balancer = decisions(config)
         self.decision_timer: DelayedCall | None = None  # the decisions have a single timer
         self.random = Random(f"{config.seed}.{config.balancer_index}")
@@ -254,6 +255,11 @@
         index = self.names.profiles.get(profile)
         return index is not None and self.config.profiles[index].semantics is m.Semantics.JOURNALLED
 
+    def is_idempotent(self, profile: str) -> bool:
+        """Whether a transaction of this profile may run again."""
+        index = self.names.profiles.get(profile)
+        return index is not None and self.config.profiles[index].semantics is m.Semantics.IDEMPOTENT
+
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
         """Accepts a transaction and returns its id, or UNKNOWN_PROFILE or KNOWN_REQUEST_ID.
 
@@ -280,7 +286,7 @@
             return KNOWN_REQUEST_ID
         tx.client_seen_at = arrival.client_seen_at
         self.open_txs[tx.id] = tx
-        self.buffered_bytes += arrival.message.size()
+        self.buffered_bytes += arrival.message.size() + self.limits.tx_bytes
         ttl, is_retry = arrival.ttl, arrival.is_retry
         if self.answer_deadline and self.now() + ttl > self.answer_deadline:
             # This process shortens the time, not the client, so it says nothing about how long a retry has waited.
@@ -356,7 +362,7 @@
     def _finish_tx(self, tx: OpenTx) -> None:
         tx.answered = True
         cancel_call(tx.hard_limit_call)
-        self.buffered_bytes -= tx.message.size()
+        self.buffered_bytes -= tx.message.size() + self.limits.tx_bytes
         if not any(hop.written for hop in tx.hops):
             self.request_ids.forget(tx.requester.id())
         if not tx.hops_in_flight:
@@ -413,9 +419,9 @@
         if tx.requester.has_left():
             self.client_gone(tx.id)
             return AttemptRefusal.DEPARTED
-        if tx.fully_received and tx.requester.may_have_left():
+        tx.client_seen_at = max(tx.client_seen_at, tx.requester.client_seen_at())
+        if tx.fully_received and now - tx.client_seen_at > self.limits.presence_check_after:
             return AttemptRefusal.UNSEEN
-        tx.client_seen_at = now
         return None
 
     def _start_timeout(self, hop: OutgoingHop) -> None:
@@ -454,6 +460,7 @@
     def reconfigure(self, config: m.Config, names: NameTable, limits: Limits) -> None:
         """Replaces profiles, rules and limits. Open transactions keep the time limits that they started with."""
         self.config, self.names, self.limits = config, names, limits
+        self.streams.total_bytes, self.streams.max_piece_bytes = limits.buffered_bytes, limits.chunk_bytes
         self.handle_event(config)
 
     def update_hosts(self, complete: bool, members: tuple[HostEntry, ...]) -> None:
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -73,6 +73,10 @@
         self.close_after_write()
         return True
 
+    def read_at_once(self, size: int) -> None:
+        """Sets how many bytes are read from the socket in one turn of the loop."""
+        self.transport.bufferSize = size
+
     def hold_reading(self, paused: bool) -> None:
         """Pauses or resumes reading."""
         self.reading_paused = paused
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -268,7 +268,8 @@
     def close_one_unread(self) -> bool:
         """Closes the client with unsent answers for longest that takes none. Returns whether there was one."""
         now = self.dispatcher.now()
-        client = next((client for client in self.unsent_answers if client.unsent_for(now) >= MIN_UNSENT_NS), None)
+        unread = (client for client in self.unsent_answers if client.queued_bytes)
+        client = next((client for client in unread if client.unsent_for(now) >= MIN_UNSENT_NS), None)
         if client is not None:
             client.abort(CloseReason.ANSWERS_UNREAD)
         return client is not None
--- a/ternquay/net/host_connection.py
+++ b/ternquay/net/host_connection.py
@@ -67,6 +67,7 @@
             return
         super().connectionMade()
         self.established = True
+        self.read_at_once(self.pool.limits.read_bytes)
         self.transport.registerProducer(self, False)
         if not self.load():
             self.pool.connection_idle(self)
@@ -185,11 +186,13 @@
         The first byte may come much later, and cutting off what the cache host still sends would lose the request.
         """
         self.cache_result, self.incoming_moved_at = begun.cache_result, self.pool.dispatcher.now()
-        flow = ValueStream(begun.length, self.pool.limits.chunk_bytes, self.hold_incoming, self.value_unwanted)
+        streams = self.pool.dispatcher.streams
+        flow = ValueStream(begun.length, streams, self.hold_incoming, self.value_unwanted)
+        self.read_at_once(streams.piece_bytes())
         self.incoming, hop = flow, self.hops[0]
         self.return_waiting()  # other hops would wait behind the large value
         if hop.ended:
-            flow.aborted = True  # the hop was given up before: the value is read and discarded
+            flow.abort()  # the hop was given up before: the value is read and discarded
         else:
             self.pool.dispatcher.hop_ended(hop, m.HopOutcome.DONE, flow, self.cache_result)
 
@@ -207,6 +210,7 @@
         """The last byte of the value arrived."""
         self.hops.popleft()
         flow, self.incoming = self.incoming, None
+        self.read_at_once(self.pool.limits.read_bytes)
         if not self.machine.fault:
             self.settle()
         if flow is not None:
@@ -216,6 +220,7 @@
         """Pauses reading while the reader of the value is behind, and resumes it."""
         if not self.closing:
             self.incoming_moved_at = self.pool.dispatcher.now()
+            self.read_at_once(self.pool.dispatcher.streams.piece_bytes())
             self.hold_reading(paused)
 
     def receive_stalled(self) -> bool:
--- a/ternquay/net/limits.py
+++ b/ternquay/net/limits.py
@@ -11,7 +11,9 @@
 SILENCE_NS = 6 * SECOND  # the platform counts a change that a silent watch missed as delivered after this time
 CONNECTION_BYTES = 16 << 10  # memory of an idle connection in this program and in Twisted, see docs/bounds.md
 PROGRAM_MB = 30  # memory of the program and its decisions, all connections idle
-MIN_BUFFERED_BYTES = MIB // 4  # of each kind, however little memory there is: the process serves, if not much
+MIN_READ_BYTES = 4 << 10
+MAX_READ_BYTES = 16 << 10  # so that no connection keeps the others waiting
+MIN_BUFFERED_BYTES = MIB // 2  # of each kind, however little memory there is: the process serves, if not much
 MAX_BUFFERED_BYTES = 256 * MIB
 
 
@@ -33,14 +35,16 @@
     line_bytes: int
     value_bytes: int
     answer_bytes: int
-    stream_above_bytes: int  # longer values are streamed in chunks of about `chunk_bytes`
+    stream_above_bytes: int  # longer values are streamed in pieces of at most `chunk_bytes`
     chunk_bytes: int
-    queued_bytes: int  # of responses to one client
+    read_bytes: int  # read from one connection at once
+    write_ahead_bytes: int  # queued of the known answers of a client; further ones wait until these are sent
     # Separately for all commands, all incomplete commands, all incomplete responses and all unread responses.
-    buffered_bytes: int
+    buffered_bytes: int  # and for the pieces of all streamed values
     # Transactions: waiting on one client connection, open at a time, on one connection to a cache host.
     pipelined: int
     open_txs: int
+    tx_bytes: int  # memory of an open transaction with a hop, beside its texts
     per_host_connection: int
     turn_duration: int  # a turn of the loop that has taken longer accepts no more transactions
     retry_after: int  # sent to clients with a refusal for want of room
@@ -101,8 +105,8 @@
     available, memory_mb = (total - 2 * reserved, memory_mb // 2) if two_processes else (total - reserved, memory_mb)
     spare = max(4, available // 8)
     longest_hard_limit = max(p["HardLimit"] for p in facts["Profiles"])
-    # The limit applies to four kinds of buffers, above the memory of the program itself.
-    buffered = max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, (memory_mb - PROGRAM_MB) * MIB // 5))
+    # The limit applies to five kinds of buffers, above the memory of the program itself.
+    buffered = max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, (memory_mb - PROGRAM_MB) * MIB // 6))
     accept_time, stop_time = SECOND // 2, min(longest_hard_limit * US, 3 * SECOND) + 600 * MS
     list_max_age = parse_duration(facts["Invariants"], "MustAskIn", "Invariants", default=0) or DEFAULT_LIST_MAX_AGE_NS
     drain_grace = parse_duration(facts["Invariants"], "DrainGrace", "Invariants", default=2 * SECOND)
@@ -121,11 +125,13 @@
         value_bytes=4 * MIB,
         answer_bytes=4 * MIB,
         stream_above_bytes=65536,
-        chunk_bytes=max(8192, min(65536, buffered // 256)),
-        queued_bytes=2 * MIB,
+        chunk_bytes=max(MIN_READ_BYTES, min(65536, buffered // 256)),
+        read_bytes=max(MIN_READ_BYTES, min(MAX_READ_BYTES, buffered // 256)),
+        write_ahead_bytes=max(MIN_READ_BYTES, min(65536, buffered // 256)),
         buffered_bytes=buffered,
         pipelined=256,
         open_txs=int(parse_number(settings, "MostHeld", "Limits", 0, MAX_NUMBER, 0)) or 20000,
+        tx_bytes=3 << 10,
         per_host_connection=max(1, int(parse_number(settings, "StreamsPerConn", "Limits", 0, MAX_NUMBER, 1))),
         presence_check_after=SECOND // 20,
         turn_duration=min(p["ServiceGoal"] for p in facts["Profiles"]) * US // 10,
--- a/ternquay/net/meta.py
+++ b/ternquay/net/meta.py
@@ -50,8 +50,9 @@
         return self.verb == b"ms"
 
     def size(self) -> int:
-        """Returns the approximate memory use in bytes."""
-        return len(self.value or b"") + 512
+        """Returns the memory of its texts in bytes, with a copy of the value that is being written."""
+        texts = len(self.key) + len(self.flags_before_ttl) + len(self.flags_after_ttl)
+        return 2 * len(self.value or b"") + texts
 
     def forward(self, wait_ms: int) -> bytes:
         """Returns the command for a cache host: as received, apart from the time `d` to wait for the answer."""
--- a/ternquay/net/value_stream.py
+++ b/ternquay/net/value_stream.py
@@ -1,6 +1,7 @@
 """A stream of one large value with flow control, from the connection that reads it to the one that writes it.
 
-It buffers at most `max_buffered` bytes plus one read. The two connections do not know each other: `set_paused` pauses
+It buffers at most one piece plus one read, and all streams of a process share the memory for them: the more there are,
+the smaller a piece is. The two connections do not know each other: `set_paused` pauses
 and resumes the source, `on_data` tells the receiver that there are chunks or that the stream has ended, and
 `on_discard` tells the source that the value is no longer wanted.
 """
@@ -8,22 +9,40 @@
 from collections import deque
 from collections.abc import Callable
 
+PIECES_PER_STREAM = 4  # one and a read in the stream, and as much in the transport that writes it
+MIN_PIECE_BYTES = 2048
+
 
 def no_receiver() -> None:
     """The default callback, used while the stream has no receiver."""
 
 
+class StreamBudget:
+    """The memory that all open streams share."""
+
+    def __init__(self, total_bytes: int, max_piece_bytes: int) -> None:
+        self.total_bytes, self.max_piece_bytes = total_bytes, max_piece_bytes
+        self.open_streams = 0
+
+    def piece_bytes(self) -> int:
+        """Returns how many bytes of one stream may be read at once, and buffered before its source is paused."""
+        part = self.total_bytes // (PIECES_PER_STREAM * max(1, self.open_streams))
+        return min(self.max_piece_bytes, max(MIN_PIECE_BYTES, part))
+
+
 class ValueStream:
     """A large value of `length` bytes that is forwarded as it arrives."""
 
     def __init__(
         self,
         length: int,
-        max_buffered: int,
+        budget: StreamBudget,
         set_paused: Callable[[bool], None],
         on_discard: Callable[[], None] = no_receiver,
     ) -> None:
-        self.length, self.max_buffered, self.set_paused, self.on_discard = length, max_buffered, set_paused, on_discard
+        self.length, self.budget, self.set_paused, self.on_discard = length, budget, set_paused, on_discard
+        self.counted = True  # in the budget
+        budget.open_streams += 1
         self.on_data: Callable[[], None] = no_receiver
         self.chunks: deque[bytes] = deque()
         self.buffered = 0
@@ -41,7 +60,7 @@
         self.chunks.append(data)
         self.buffered += len(data)
         self.on_data()
-        if self.buffered >= self.max_buffered and not self.paused and not self.aborted:
+        if self.buffered >= self.budget.piece_bytes() and not self.paused and not self.aborted:
             self.paused = True
             self.set_paused(True)
 
@@ -49,6 +68,7 @@
         """Marks the value as complete."""
         if not self.aborted:
             self.complete = True
+            self._release()
             self._resume()  # later data of the source does not belong to this value
             self.on_data()
 
@@ -70,7 +90,7 @@
 
     def mark_written(self) -> None:
         """Records that all taken data was written, and resumes the source."""
-        if self.buffered < self.max_buffered:
+        if self.buffered < self.budget.piece_bytes():
             self._resume()
 
     def all_taken(self) -> bool:
@@ -85,10 +105,17 @@
 
     def _abort(self) -> None:
         self.aborted = True
+        self._release()
         self.chunks.clear()
         self.buffered = 0
         self._resume()
 
+    def _release(self) -> None:
+        """Gives the part of the budget to the other streams."""
+        if self.counted:
+            self.counted = False
+            self.budget.open_streams -= 1
+
     def _resume(self) -> None:
         if self.paused:
             self.paused = False
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ternquay.net import meta
-from ternquay.net.value_stream import ValueStream
+from ternquay.net.value_stream import StreamBudget, ValueStream
 from tests.helper import FACTS, Net, Wire, member
 from tests.test_management import hello_reply
 from tests.test_net import mg, va
@@ -84,7 +84,7 @@
 
 def test_the_source_is_paused_while_the_receiver_takes_nothing() -> None:
     pauses: list[bool] = []
-    stream = ValueStream(20, 4, pauses.append)
+    stream = ValueStream(20, StreamBudget(4096, 4), pauses.append)
     stream.feed(b"abc")
     assert not pauses
     stream.feed(b"def")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -229,7 +229,7 @@
 
 
 def test_a_client_that_reads_no_answers_is_closed() -> None:
-    net = Net(limits={"queued_bytes": 4 * 65536})
+    net = Net()
     client = net.client()
     client.take = lambda: None  # type: ignore[method-assign]
     client.feed(mg(1))
@@ -244,6 +244,10 @@
             net.accept()
         hosts = [w for w in net.wires if w.name.startswith("host") and not w.lost]
         hosts[-1].feed(va(number, b"x" * 65536)) if not many.lost else None
+    # Known answers wait while others are queued, so that a client that reads slowly loses none.
+    assert not many.lost and many.protocol.queued_bytes < 2 * 65600 and len(many.pending) < 2 * 65600
+    assert net.frontend.unsent_answers.total > 6 * 65536
+    net.run(5500)
     assert many.lost and not net.frontend.unsent_answers.total
 
 
@@ -260,7 +264,7 @@
 
 
 def test_requests_beyond_the_memory_limit_are_refused() -> None:
-    net = Net(limits={"buffered_bytes": 700})
+    net = Net(limits={"buffered_bytes": 700, "tx_bytes": 512})
     for number in (1, 2, 3):
         net.client().feed(mg(number))
     net.matches("net_held")
@@ -317,7 +321,7 @@
 
 
 def test_a_buffered_value_is_returned_unchanged_and_incomplete_answers_have_a_memory_limit() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 700_000, "queued_bytes": 700_000, "stream_above_bytes": 1 << 20})
+    net = Net(hosts=1, limits={"buffered_bytes": 700_000, "stream_above_bytes": 1 << 20})
     client, other = net.client(), net.client()
     client.feed(mg(1))
     host = net.accept()
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -48,3 +48,9 @@
 # Guards against: the final answer of a large request comes seconds after its time, as its server reads it slowly.
 def test_the_answer_of_a_large_request_comes_in_its_time_however_slowly_its_server_reads() -> None:
     assert run_play("slow-server-reads", shape(size=6)) == []
+
+
+# Guards against: crowds that write or read large values slowly, or send many fields, take more memory than there is.
+def test_crowds_with_large_values_keep_the_process_within_its_memory() -> None:
+    for name in ("slow-readers", "slow-writers", "all-memory"):
+        assert run_play(name, shape(memory_mb=64, seconds=3.0)) == []
--- a/tests/test_shared_memory.py
+++ b/tests/test_shared_memory.py
@@ -51,7 +51,7 @@
 
 # Guards against: a client that keeps nothing is cut off, with the request that it waits for, once others keep too much.
 def test_half_written_values_over_the_limit_cost_no_other_client_its_answer() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000})
     usual = net.client()
     usual.feed(mg(1))
     host = net.accept()
@@ -68,7 +68,7 @@
 
 # Guards against: what an aborted client kept counts until the transport reports its end, a turn later.
 def test_the_memory_of_an_aborted_client_counts_no_more() -> None:
-    net = Net(limits={"buffered_bytes": 1000})
+    net = Net(limits={"tx_bytes": 0, "buffered_bytes": 1000})
     gone, other = net.client(), net.client()
     gone.feed(half_written(1, sent=900))
     gone.protocol.abort(CloseReason.REMOVED)
@@ -77,7 +77,7 @@
 
 
 def test_a_refused_writer_has_one_answer_and_its_connection_goes_on_behind_the_value() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000})
     writer = net.client()
     writer.feed(half_written(1, size=2000, sent=1500))
     assert written(net, 0).count("busy") == 1 and not net.frontend.incomplete_requests.total
@@ -91,7 +91,7 @@
 
 
 def test_a_refused_writer_that_stops_is_closed_in_time_without_a_second_answer() -> None:
-    net = Net(limits={"buffered_bytes": 1000})
+    net = Net(limits={"tx_bytes": 0, "buffered_bytes": 1000})
     writer = net.client()
     writer.feed(half_written(1, size=2000, sent=1500))
     net.run(2450)
@@ -101,7 +101,7 @@
 
 
 def test_the_request_before_a_refused_one_keeps_its_answer() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000})
     client = net.client()
     client.feed(mg(1) + half_written(2, size=2000, sent=1500))
     assert not replies(net)
@@ -110,7 +110,7 @@
 
 
 def test_without_values_the_oldest_incomplete_line_is_refused_behind_the_answers_that_are_owed() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 100})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 100})
     first, second = net.client(), net.client()
     first.feed(mg(1) + b"mg key" + b" " * 60)
     host = net.accept()
@@ -123,7 +123,7 @@
 
 
 def test_a_streamed_value_is_never_refused_for_its_last_byte() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 100, "stream_above_bytes": 8, "chunk_bytes": 64})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 100, "stream_above_bytes": 8, "chunk_bytes": 64})
     writer, other = net.client(), net.client()
     writer.feed(b"ms k 10 O1 Pc=once,d=800\r\n0123456789\r")
     host = net.accept()
@@ -135,7 +135,7 @@
 
 
 def test_an_invalid_write_that_is_refused_for_memory_is_told_that_it_is_invalid() -> None:
-    net = Net(limits={"buffered_bytes": 1000})
+    net = Net(limits={"tx_bytes": 0, "buffered_bytes": 1000})
     client = net.client()
     client.feed(b"ms k 2000 Pc=once\r\n" + b"x" * 1500)
     assert len(replies(net)) == 1 and "CLIENT_ERROR" in replies(net)[0] and not client.lost
@@ -156,7 +156,7 @@
 
 # Guards against: clients that stopped keep their places, and idle usual clients are closed for newcomers instead.
 def test_a_client_that_stopped_in_a_refused_request_loses_its_place_before_an_idle_one() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000, "clients": 2})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000, "clients": 2})
     idle, stopped = net.client(), net.client()
     idle.feed(mg(1))
     net.accept().feed(va(1))
@@ -182,7 +182,7 @@
 
 # Guards against: the client that is written to next is cut off, with its answer, for what others do not read.
 def test_answers_that_others_do_not_read_cost_no_client_its_own() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000})
     usual, *deaf = [net.client() for _ in range(4)]
     usual.feed(mg(1))
     first = net.accept()
@@ -202,7 +202,7 @@
 
 
 def test_a_client_that_takes_some_bytes_is_not_closed_for_the_memory_of_answers() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 1000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 1000})
     slow, *deaf = [net.client() for _ in range(3)]
     unread_answers(net, slow, *deaf)
     for _ in range(16):
@@ -213,7 +213,7 @@
 
 # Guards against: answers that become known in one turn close the connections that they are written to.
 def test_many_answers_of_one_turn_are_all_written() -> None:
-    net = Net(sockets=192, limits={"buffered_bytes": 100})
+    net = Net(sockets=192, limits={"tx_bytes": 0, "buffered_bytes": 100})
     clients = [net.client() for _ in range(30)]
     for client in clients:
         client.protocol.dataReceived(b"mn\r\n")  # the system takes nothing before the turn ends
@@ -241,7 +241,7 @@
 
 # Guards against: a cache host that answers loses its connection and its hops for what others have not finished.
 def test_responses_that_stand_still_cost_no_other_connection_its_hops() -> None:
-    net = Net(hosts=1, limits={"buffered_bytes": 2000})
+    net = Net(hosts=1, limits={"tx_bytes": 0, "buffered_bytes": 2000})
     clients = [net.client() for _ in range(3)]
     for number, client in enumerate(clients):
         client.feed(ms(number) if number == 2 else mg(number))
