--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -54,3 +54,9 @@
 def test_crowds_with_large_values_keep_the_process_within_its_memory() -> None:
     for name in ("slow-readers", "slow-writers", "all-memory"):
         assert run_play(name, shape(memory_mb=64, seconds=3.0)) == []
+
+
+# Guards against: one client that sends small or unsound requests at full speed makes memory grow without end.
+def test_a_client_at_full_speed_takes_no_memory_without_end_and_delays_nobody() -> None:
+    for name in ("flood-unsound-deaf", "flood-keys-deaf", "flood-tenants-deaf", "flood-unsound"):
+        assert run_play(name, shape(memory_mb=64, seconds=6.0)) == []
