What one client sends at full speed is read in pieces, and not while its answers pile up

Cause: only transactions were limited on a connection (256), not what is answered at once, and all that a read of 64 KB held was handled in one turn.

--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -12,7 +12,7 @@
 from ternquay.hosted.shared.fairness import ClientLimiter, SharedCapacity
 from ternquay.hosted.shared.scheduler import PIECE_NS, FairScheduler
 from ternquay.net import meta
-from ternquay.net.client import ClientConnection, PendingAnswer
+from ternquay.net.client import MAX_PENDING_ANSWERS, ClientConnection, PendingAnswer
 from ternquay.net.dispatcher import Dispatcher
 from ternquay.net.frontend import Frontend
 from ternquay.net.limits import Limits
@@ -23,7 +23,6 @@
 
 ITEMS_PER_CLOCK_CHECK = 4  # commands read, or connections accepted, before the clock is checked
 MAX_UNREAD_BYTES = 16 << 10  # buffered on one connection before reading from it is paused
-MAX_PENDING_ANSWERS = 1024  # of one connection, before reading from it is paused
 # A client with more open transactions than both of these crowds others: a count, and a multiple of its equal part.
 CROWDING_MIN_OPEN = 8
 CROWDING_FACTOR = 1.5
@@ -122,6 +121,10 @@
     def reading_held(self) -> bool:
         return self.waiting or self.answers_full or super().reading_held()
 
+    def must_hold_reading(self) -> bool:
+        # Everything else that holds reading is a matter of turns: see pause_if_full().
+        return self.stream_held
+
     def is_stalled(self) -> bool:
         # A client that waits for its turn makes no progress through no fault of its own.
         held = (self.waiting or self.answers_full) and not self.queued_bytes and not self.ended
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -27,6 +27,8 @@
 # For this long after a late read, bytes of the same request part count as equally late; for others the system is asked.
 CATCH_UP_NS = 100 * MS
 FULL_READ_BYTES = 16 << 10  # a read of this size may mean that a full socket buffer kept the client from writing more
+ITEMS_PER_TURN = 200  # handled of one client in one turn of the loop
+MAX_PENDING_ANSWERS = 1024  # of one client, before reading from it is paused
 RESUME_GRACE_NS = 500 * MS  # time for such a client to write more
 
 
@@ -130,7 +132,10 @@
         self.last_arrival = 0
         self.deadline = RequestDeadline()
         self.unreported_bytes = 0  # bytes that were read but not reported to `deadline`
-        self.held_since = 0  # when reading was paused for a large value
+        self.held_since = 0  # when reading was paused
+        self.stream_held = False  # reading is paused for a large value
+        self.unparsed = False  # whole items may be buffered, which are handled in a later turn of the loop
+        self.continuing = False  # such a turn is scheduled
         self.close_reason = CloseReason.MALFORMED  # for a close after all pending answers are written
 
     def connectionMade(self) -> None:
@@ -161,7 +166,57 @@
         self.unreported_bytes += len(data)
         self.record_read(len(data))
         self.frontend.mark_busy(self)
-        self.handle_items(self.parser.feed(data))
+        self.parser.buffer_data(data)
+        self.handle_buffered()
+
+    def handle_buffered(self) -> None:
+        """Handles a limited number of the buffered items, so that no client keeps the others waiting."""
+        items = self.parser.parse(ITEMS_PER_TURN)
+        self.unparsed = len(items) >= ITEMS_PER_TURN
+        self.handle_items(items)
+        if self.ended or self.closing:
+            return
+        self.update_reading()
+        if self.unparsed and not self.pending_full():
+            self._continue_later()
+
+    def _continue_later(self) -> None:
+        if not self.continuing:
+            self.continuing = True
+            self.frontend.reactor.callLater(0, self._continue)
+
+    def _continue(self) -> None:
+        """Handles what is buffered, or reads on."""
+        self.continuing = False
+        if self.ended or self.closing:
+            return
+        if self.unparsed:
+            self.handle_buffered()
+        else:
+            self.update_reading()
+
+    def pending_full(self) -> bool:
+        """Whether so many answers wait behind one that is not known that no more requests are read."""
+        return len(self.pending) > MAX_PENDING_ANSWERS
+
+    def must_hold_reading(self) -> bool:
+        """Whether nothing may be read from the socket for now."""
+        return self.stream_held or self.unparsed or self.pending_full()
+
+    def update_reading(self) -> None:
+        """Pauses or resumes reading. The time of a pause does not count against the client."""
+        hold = self.must_hold_reading()
+        if hold == self.reading_paused:
+            return
+        now = self.frontend.dispatcher.now()
+        self.hold_reading(hold)
+        self.catch_up_until = 0  # bytes that arrive from now on wait because of this pause
+        if hold:
+            self.held_since = now
+            self.backlog.record_pause(now)
+        else:
+            self.deadline.extend(now - self.held_since)
+            self.backlog.record_resume(now, self._peek() is None)
 
     def record_read(self, size: int) -> None:
         """Records a read from the socket of so many bytes."""
@@ -285,15 +340,10 @@
             return
         self.last_activity = self.frontend.dispatcher.now()
         self.read_at_once(self.frontend.dispatcher.streams.piece_bytes())
-        self.hold_reading(paused)
-        self.catch_up_until = 0  # bytes that arrive from now on wait because of this pause
+        self.stream_held = paused
+        self.update_reading()
         if paused:
-            self.held_since = self.last_activity
-            self.backlog.record_pause(self.last_activity)
             self._watch_value()
-        else:
-            self.deadline.extend(self.last_activity - self.held_since)
-            self.backlog.record_resume(self.last_activity, self._peek() is None)
 
     def _watch_value(self) -> None:
         """Sees to it that the request whose value is held back is answered in its time.
@@ -496,6 +546,7 @@
             if self.queued_bytes >= self.frontend.limits.write_ahead_bytes:
                 return  # goes on when the operating system has taken what is queued
             self.pending.popleft()
+            self._answer_written()
             self.answered = True
             self.write_answer(text)
             if isinstance(first, PendingAnswer) and first.answer:
@@ -506,6 +557,11 @@
             else:
                 self.frontend.mark_idle(self)
 
+    def _answer_written(self) -> None:
+        """Reads on once there is room for answers again."""
+        if len(self.pending) == MAX_PENDING_ANSWERS // 2 and self.reading_paused:
+            self._continue_later()
+
     def write_stream(self, pending_answer: PendingAnswer, stream: ValueStream) -> bool:
         """Writes the next chunk of a large value once the previous one was sent. Returns whether the value is done."""
         if stream.aborted:
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -256,8 +256,9 @@
 
     def next_to_refuse(self) -> ClientConnection | None:
         """Returns the client that has added nothing to its value for longest; without values, to its line."""
-        value_writers = (client for client in self.incomplete_requests if client.parser.buffers_value())
-        line_writers = (client for client in self.incomplete_requests if client.parser.awaits_no_value())
+        candidates = [client for client in self.incomplete_requests if not client.unparsed]
+        value_writers = (client for client in candidates if client.parser.buffers_value())
+        line_writers = (client for client in candidates if client.parser.awaits_no_value())
         return next(value_writers, None) or next(line_writers, None)
 
     def close_unread(self) -> None:
