--- a/tests/fault_harness.py
+++ b/tests/fault_harness.py
@@ -297,7 +297,7 @@
     listen: tuple[str, int] = ("", 0)
     management: tuple[str, int] = ("", 0)
     discovery: tuple[str, int] = ("", 0)
-    peak_mb: float = 0.0
+    stopped: bool = False  # it has ended as it should
     process: "subprocess.Popen[bytes] | None" = None
 
     def configuration(self) -> dict[str, Any]:
--- a/tests/fault_plays.py
+++ b/tests/fault_plays.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import signal
 import socket
 import tempfile
 import time
@@ -16,6 +17,7 @@
 from multiprocessing import get_context
 from pathlib import Path
 from random import Random
+from subprocess import TimeoutExpired
 from typing import Any
 
 from tests.fault_harness import (
@@ -29,7 +31,9 @@
     StartError,
     UsualClients,
     free_address,
+    profile,
     read,
+    settings,
     value_answer,
     watch_memory,
     whole_answer,
@@ -58,7 +62,9 @@
 
 
 @asynccontextmanager
-async def balancer(shape: Shape, hosts: list[CacheHost], found: list[str]) -> AsyncIterator[BalancerProcess]:
+async def balancer(
+    shape: Shape, hosts: list[CacheHost], found: list[str], facts: dict[str, Any] | None = None
+) -> AsyncIterator[BalancerProcess]:
     """Runs one process, and finds it broken if it ends or takes more memory than it may."""
     held = socket.create_server(free_address(), backlog=1024) if shape.inherited else None
     if held is not None:
@@ -66,7 +72,7 @@
     for host in hosts:
         if not host.address[1]:
             await host.start()
-    process = BalancerProcess(hosts, shape.memory_mb, shape.sockets, held)
+    process = BalancerProcess(hosts, shape.memory_mb, shape.sockets, held, facts=facts or settings())
     peak = [0.0]
     try:
         await process.start()
@@ -74,7 +80,7 @@
         await asyncio.sleep(2 * MEMORY_SAMPLE_S)
         yield process
         watcher.cancel()
-        if not process.alive():
+        if not process.stopped and not process.alive():
             found.append(f"the process ended by itself: {process.log()[-500:]}")
         if peak[0] > shape.memory_mb + MEMORY_TOLERANCE_MB:
             found.append(f"memory: {peak[0]:.1f} MB resident, {shape.memory_mb} allowed")
@@ -527,6 +533,52 @@
     return found
 
 
+async def stop_long(shape: Shape) -> list[str]:
+    """SIGTERM with a request open that may wait for 5 s, and a long answer that its server writes for 6 s."""
+    found: list[str] = []
+    profiles = [
+        profile("clip", "repeatable", 600, 1500),
+        profile("copy", "once", 750, 5000) | {"OverdueRevenue": 0.5},
+        profile("note", "by_key", 1500, 5000) | {"OverdueRevenue": 0.5},
+    ]
+
+    async def answer(command: Command, writer: asyncio.StreamWriter) -> None:
+        if command.verb == b"ms":
+            await asyncio.sleep(6)
+        else:
+            await paced_answer(400_000, 0.01, 0.0, 6.0)(command, writer)
+
+    hosts = [CacheHost(f"h{n}", answer) for n in range(3)]
+    async with balancer(shape, hosts, found, settings(Profiles=profiles)) as process:
+        clients = [await Client.open(process.listen) for _ in range(3)]
+        commands = [
+            write("p0", 3, "w", 5000, "copy") + b"val\r\n",
+            write("p1", 3, "w", 5000, "note") + b"val\r\n",
+            read("p2", "long", 1500),
+        ]
+        asked = [
+            asyncio.ensure_future(client.ask(command, f"p{number}", 9))
+            for number, (client, command) in enumerate(zip(clients, commands, strict=True))
+        ]
+        await asyncio.sleep(shape.random.uniform(0.1, 0.5))
+        terminated_at = time.monotonic()
+        process.send(signal.SIGTERM)
+        first, second, third = await asyncio.gather(*asked)
+        for reply in (first, second):
+            # SIGKILL may come 3.7 s after SIGTERM, as the longest wait counts as 3 s at most.
+            if not reply.line or reply.ended_at > terminated_at + 3.7:
+                found.append(f"{reply.id}: {reply.line!r} {reply.ended_at - terminated_at:.2f} s after SIGTERM")
+        if third.body_bytes != 400_000:
+            found.append(f"the long answer: {third.line!r}")
+        assert process.process is not None
+        with suppress(TimeoutExpired):
+            await asyncio.to_thread(process.process.wait, 3)
+        if process.process.returncode != 0:
+            found.append(f"after the last answer: {process.process.returncode}")
+        process.stopped = True
+    return found
+
+
 # ---- one client at full speed ----
 
 
@@ -623,6 +675,7 @@
     "unsound": unsound,
     "late-body": late_body,
     "slow-server-reads": slow_server_reads,
+    "stop-long": stop_long,
     "start-small": start_small,
     "two-small": two_small,
 } | {
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -55,6 +55,7 @@
     signals: list[tuple[float, signal.Signals]]  # before SIGTERM, by time
     term_at: float
     second_term_after: float  # 0: there is none
+    overdue_revenue: float  # of answers after the service goal: above 0, requests may last as long as clients wait
 
 
 def draw_plan(seed: int) -> Plan:
@@ -78,6 +79,7 @@
         ),
         term_at=term_at,
         second_term_after=random.choice((0.0, 0.1, 0.6)),
+        overdue_revenue=random.choice((0.0, 0.4)),
     )
 
 
@@ -191,6 +193,8 @@
         profile("copy", "once", plan.goal_ms, plan.waits_ms[1]),
         profile("note", "by_key", plan.goal_ms, plan.waits_ms[2]),
     ]
+    for one in profiles:
+        one["OverdueRevenue"] = plan.overdue_revenue
     hosts = [await CacheHost(f"h{n}", drawn_answer(plan.random, plan.goal_ms)).start() for n in range(4)]
     held = socket.create_server(free_address(), backlog=1024) if plan.inherited else None
     if held is not None:
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -60,3 +60,8 @@
 def test_a_client_at_full_speed_takes_no_memory_without_end_and_delays_nobody() -> None:
     for name in ("flood-unsound-deaf", "flood-keys-deaf", "flood-tenants-deaf", "flood-unsound"):
         assert run_play(name, shape(memory_mb=64, seconds=6.0)) == []
+
+
+# Guards against: at a planned end a request that may wait longer is lost, and a long answer is cut off.
+def test_a_planned_end_answers_what_may_wait_longer_and_finishes_long_answers() -> None:
+    assert run_play("stop-long", shape()) == []
