A planned end answers what may wait longer, and finishes long answers

Cause: only requests that came after SIGTERM had their time shortened to the process's own; the end waited 60 ms for what was being written. All open requests are answered 20 ms before the end now: refused if no hop may have run, else told as failed; the process ends when no large value is under way (one that stands still ends by the stall timeouts; a platform that kills earlier does so).

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -582,6 +582,11 @@
             stream.mark_written()
         return stream.all_taken()
 
+    def writes_value(self) -> bool:
+        """Whether the first pending answer is a large value."""
+        first = self.pending[0] if self.pending else None
+        return isinstance(first, PendingAnswer) and first.stream is not None and not self.ended
+
     def write_chunk(self, data: bytes) -> None:
         """Writes a part of a large value, which does not count towards the limits on queued answers."""
         self.queued_bytes += len(data)
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -315,7 +315,10 @@
         if tx is None or tx.answered or tx.fully_received:
             return
         tx.fully_received, now = True, self.now()
-        tx.hard_limit_call = self.call_at(now + tx.ttl - unread, self._hard_limit_passed, tx)
+        due = now + tx.ttl - unread
+        if self.answer_deadline:
+            due = min(due, self.answer_deadline)
+        tx.hard_limit_call = self.call_at(due, self._hard_limit_passed, tx)
         for hop in tx.hops:
             if not hop.ended:
                 hop.sent_at, hop.deadline = now, hop.deadline + now - tx.arrived_at - unread
@@ -338,6 +341,24 @@
         for hop in [hop for hop in tx.hops if not hop.ended]:
             self._give_up_hop(hop, m.HopOutcome.CANCELLED)
 
+    def answer_all_by(self, deadline: int) -> None:
+        """At a planned shutdown: no transaction is open after the deadline, whatever time its client has left."""
+        self.answer_deadline = deadline
+        self.call_at(deadline, self._answer_open_txs)
+
+    def _answer_open_txs(self) -> None:
+        """Answers all open transactions: a retry is promised to be harmless only if no hop may have run."""
+        for tx in [tx for tx in self.open_txs.values() if not tx.answered]:
+            if not tx.fully_received:
+                self.value_overdue(tx.id)
+            elif any(hop.written for hop in tx.hops):
+                self._abandon(tx.id)
+                self.handle_event(m.ClientGone(tx.id))
+            else:
+                self._finish_tx(tx)
+                tx.requester.roll_back(self.jittered(self.limits.retry_after))
+                self.handle_event(m.ClientGone(tx.id))
+
     def client_gone(self, tx_id: int) -> None:
         """The client disconnected: the transaction needs no answer any more."""
         tx = self.open_txs.get(tx_id)
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -147,6 +147,10 @@
         """Whether a client waits for an answer or for queued bytes of one."""
         return any(client.pending or client.queued_bytes for client in self.clients)
 
+    def writes_values(self) -> bool:
+        """Whether a large value is being written to a client."""
+        return any(client.writes_value() for client in self.clients)
+
     def resume_accepting(self) -> None:
         """Resumes accepting once sockets are available."""
         if self.accepting_paused and not self.sockets.full():
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -35,6 +35,7 @@
 from ternquay.net.start_times import StartTimes
 from ternquay.net.transports import BackoffConnector
 
+VALUE_CHECK_SECONDS = 0.05  # between two checks whether large values are still under way
 FIRST_TURN_SECONDS = 0.001  # the loop has run once after this
 # An address that is in use or not available is an error of the configuration; any other error may be transient.
 PERMANENT_LISTEN_ERRORS = frozenset({EADDRINUSE, EADDRNOTAVAIL, EACCES, EAFNOSUPPORT})
@@ -281,7 +282,7 @@
             self._stop_accepting()
             self.frontend.leave(self.limits.new_client_grace)
             self._wait_for_clients()
-        self.dispatcher.answer_deadline = self.dispatcher.now() + self.limits.last_answer_after
+        self.dispatcher.answer_all_by(self.dispatcher.now() + self.limits.last_answer_after)
         self.reactor.callLater(self.limits.accept_grace / SECOND, self._stop_accepting)
         self.reactor.callLater(self.limits.leave_after / SECOND, self._close_clients)
         self.reactor.callLater(self.limits.stop_after / SECOND, self._flush_and_exit)
@@ -318,10 +319,19 @@
             self._flush_and_exit()
 
     def _flush_and_exit(self) -> None:
-        """Exits when the last responses are written, or after the flush timeout."""
+        """Exits when the last responses are written, or after the flush timeout and the large values under way."""
         if not self.stopping:
             self.stopping = True
-            after_answers_sent(self.reactor, self.frontend.has_unsent_answers, self.limits.flush_timeout, self._exit)
+            after_answers_sent(
+                self.reactor, self.frontend.has_unsent_answers, self.limits.flush_timeout, self._exit_after_values
+            )
+
+    def _exit_after_values(self) -> None:
+        """Exits when no large value is under way. One that stands still ends by the stall timeouts."""
+        if self.frontend.writes_values():
+            self.reactor.callLater(VALUE_CHECK_SECONDS, self._exit_after_values)
+        else:
+            self._exit()
 
     def _exit(self) -> None:
         if self.reactor.running:
