A host whose address has a newer process gets nothing new

Cause: hosts were told apart by id alone. Of several ids at one address the one that started last is used, the others count as draining.

--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -487,6 +487,7 @@
     def update_hosts(self, complete: bool, members: tuple[HostEntry, ...]) -> None:
         """Applies a host list. `complete`: hosts that it does not name are gone; else it holds only changes."""
         missing: tuple[m.ListedHost, ...] = ()
+        members = self._retire_superseded(complete, members)
         if self.config.gone_is_advisory:
             members, missing = self._split_advisory(complete, members)
             complete = False
@@ -511,6 +512,32 @@
         for name in sorted(gone):
             self.pool.remove_host(self.host_indices.pop(name))
 
+    def _retire_superseded(self, complete: bool, members: tuple[HostEntry, ...]) -> tuple[HostEntry, ...]:
+        """Returns the entries with those as draining whose address belongs to a host that started later.
+
+        The process at the address is the new one, even if the list still names the old host: work for the old one would
+        reach a cold cache host, or one that does not recognise repeats.
+        """
+        current = {} if complete else dict(self.host_entries)
+        current.update((member.id, member) for member in members)
+        newest: dict[Address, tuple[int, bool]] = {}
+        for entry in current.values():
+            if entry.status is not m.HostStatus.GONE:
+                order = self._start_order(entry)
+                newest[entry.address] = max(newest.get(entry.address, order), order)
+        retired = {
+            entry.id: replace(entry, status=m.HostStatus.DRAINING)
+            for entry in current.values()
+            if entry.status is m.HostStatus.READY and self._start_order(entry) < newest[entry.address]
+        }
+        if not retired:
+            return members
+        return tuple(member for member in members if member.id not in retired) + tuple(retired.values())
+
+    def _start_order(self, entry: HostEntry) -> tuple[int, bool]:
+        """Orders hosts at one address by their start, and by whether they are new where starts are equal."""
+        return entry.started_at, entry.id not in self.host_indices
+
     def _check_host_sockets(self) -> None:
         """Warns once each time that the hosts outnumber their sockets. Idle connections are then closed for others."""
         room = self.limits.sockets - self.limits.clients
