--- a/ternquay/balance.py
+++ b/ternquay/balance.py
@@ -662,6 +662,8 @@
             return
         hop = tx.hops[event.hop]
         hop.in_flight, hop.may_have_run = False, event.outcome > m.HopOutcome.MISS
+        if event.outcome in (m.HopOutcome.RESET, m.HopOutcome.UNREACHABLE):
+            hop.host.connection_broke_at = self.now
         tx.hops_in_flight -= 1
         if hop.started:
             hop.host.in_flight -= 1
@@ -953,8 +955,12 @@
         window, scope = tx.profile.dedup_window - self.time_margin, tx.profile.dedup_scope
         if tx.profile.semantics is m.Semantics.NON_IDEMPOTENT or self.now - first.sent_at >= window:
             return False
+        if scope is m.DedupScope.ALL:
+            return True
         same_place = host.zone == first.host.zone if scope is m.DedupScope.ZONE else host.cell == first.host.cell
-        return scope is m.DedupScope.ALL or same_place
+        # A connection that broke may mean that another process has the address now, of another zone or cell, and the
+        # list tells late. A process that started since knows of no earlier work.
+        return same_place and max(host.connection_broke_at, host.started_at) < first.sent_at
 
     def _send(self, tx: Tx, host: CacheHost) -> bool:
         """Send a hop unless a rule forbids it, and return whether it was sent.
--- a/ternquay/state.py
+++ b/ternquay/state.py
@@ -48,6 +48,7 @@
     mean_duration: float = 0.0
     mean_in_flight: float = 0.0  # hops in flight when the hops behind `mean_duration` were sent
     measured_at: int = 0  # 0: never
+    connection_broke_at: int = 0  # when a connection to it last broke or was not made
     answered_at: int = 0  # time of its latest response
     newest_answered: int = 0  # send time of the most recently sent hop that it has answered
     cold_hop_times: deque[int] = field(default_factory=deque)  # within the overload window
