--- a/ternquay/net/eviction.py
+++ b/ternquay/net/eviction.py
@@ -3,8 +3,8 @@
 The operating system has already completed the connections of waiting clients, and their requests must be answered. As
 many inactive clients are closed as wait: first clients that stopped in the middle of a request that is refused already,
 then clients that are idle after an answer or have sent nothing, then clients that stopped in the middle of any other
-request or write slowly on a spare place, longest inactive first. A client that waits for an answer or has unread bytes is never closed. Times are
-integer nanoseconds.
+request or write slowly on a spare place, longest inactive first. A client that waits for an answer or has unread bytes
+is never closed. Times are integer nanoseconds.
 """
 
 from collections.abc import Iterator
--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -157,6 +157,8 @@
             await asyncio.sleep(20)
         elif plan.crowd == "slow":
             for byte in write(f"x{number}", 5) + b"value\r\n":
+                if client.reader.at_eof():
+                    return
                 client.writer.write(bytes([byte]))
                 await asyncio.sleep(0.05)
         await client.reader.read()
