The hosted service passes on answers over 64 KB as they come

Its tenants' streams share their memory limit now, as those of serve do, and count in the process's sum.

--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -145,7 +145,7 @@
         clients=own.clients,
         value_bytes=65536,
         answer_bytes=1 << 20,
-        stream_above_bytes=1 << 20,  # answers are buffered whole, since a tenant's memory is accounted
+        stream_above_bytes=65536,
         buffered_bytes=max(1 << 20, min(own.held, memory)),
         idle_clients=max(8, own.clients // 2),
     )
@@ -473,6 +473,7 @@
             + self.frontend.incomplete_requests.total
             + self.frontend.unsent_answers.total
             + self.pool.incomplete_responses.total
+            + self.dispatcher.streams.reserved_bytes()
         )
 
     def usage(self) -> dict[str, Any]:
--- a/ternquay/net/value_stream.py
+++ b/ternquay/net/value_stream.py
@@ -29,6 +29,10 @@
         part = self.total_bytes // (PIECES_PER_STREAM * max(1, self.open_streams))
         return min(self.max_piece_bytes, max(MIN_PIECE_BYTES, part))
 
+    def reserved_bytes(self) -> int:
+        """Returns the memory that the open streams may take at most."""
+        return self.open_streams * PIECES_PER_STREAM * self.piece_bytes()
+
 
 class ValueStream:
     """A large value of `length` bytes that is forwarded as it arrives."""
--- a/tests/test_preproduction.py
+++ b/tests/test_preproduction.py
@@ -65,3 +65,8 @@
 # Guards against: at a planned end a request that may wait longer is lost, and a long answer is cut off.
 def test_a_planned_end_answers_what_may_wait_longer_and_finishes_long_answers() -> None:
     assert run_play("stop-long", shape()) == []
+
+
+# Guards against: the hosted service refuses a long answer that its server writes slowly, as it waits for all of it.
+def test_the_hosted_service_passes_on_a_long_answer_as_it_comes() -> None:
+    assert run_play("late-body", shape(hosted=True, size=4)) == []
