Hosted: a client that closed behind unread requests leaves none open

Found on reading the new code again: client_departed() ended the pending requests without the tenant's own count, so each such client left its requests open for good, up to the tenant's limit. A client whose answers wait is no longer taken for one that stands still in the middle of a large value.

--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -6,9 +6,6 @@
 from struct import pack
 from typing import Any
 
-from twisted.internet.protocol import connectionDone
-from twisted.python.failure import Failure
-
 from ternquay.hosted.shared.fairness import ClientLimiter, SharedCapacity
 from ternquay.hosted.shared.scheduler import PIECE_NS, FairScheduler
 from ternquay.net import meta
@@ -83,11 +80,11 @@
         self.waiting_since = 0  # for a turn
         self.turn_wait = 0  # how long it waited for the present one
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
+    def end_pending(self) -> None:
         for pending_answer in self.pending:
             if isinstance(pending_answer, PendingAnswer) and pending_answer.answer is None:
                 self.answer_ready(pending_answer)
-        super().connectionLost(reason)
+        super().end_pending()
 
     def rawDataReceived(self, data: bytes) -> None:
         if self.ended or self.closing:
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -148,9 +148,9 @@
         self.ended = self.transport_closed = True
         self.frontend.client_disconnected(self)
         self.frontend.sockets.descriptor_freed(self)
-        self._end_pending()
+        self.end_pending()
 
-    def _end_pending(self) -> None:
+    def end_pending(self) -> None:
         """Ends the transactions whose answers nobody waits for any more."""
         cancel_call(self.value_call)
         pending, self.pending = self.pending, deque()
@@ -269,7 +269,7 @@
         self.ended = True
         self.parser.stop()
         self.frontend.release_memory(self)
-        self._end_pending()
+        self.end_pending()
         self.transport.abortConnection()
 
     def update_deadline(self) -> None:
@@ -659,7 +659,7 @@
         now = self.frontend.dispatcher.now()
         if self.queued_bytes:
             return self.unsent_for(now) > self.frontend.limits.stall_timeout
-        incomplete = self.ended or (self.reading_paused and not self.parser.is_idle())
+        incomplete = self.ended or (self.stream_held and not self.parser.is_idle())
         return incomplete and now - self.last_activity > self.frontend.limits.stall_timeout
 
     def unsent_for(self, now: int) -> int:
--- a/tests/test_hosted_endings.py
+++ b/tests/test_hosted_endings.py
@@ -295,3 +295,18 @@
     assert not waits.protocol.run_piece()
     net.run(5)
     assert not waits.lost and "client 1 < b'SERVER_ERROR busy" in net.trace[-1], net.trace  # late, and answered
+
+
+# Guards against: the requests of a client that closed behind unread ones count as open for good.
+def test_a_hosted_client_that_closed_behind_unread_requests_has_none_open() -> None:
+    net = HostedNet()
+    client = net.client()
+    net.start_turn()
+    client.feed(mg(1) + mg(2))
+    net.accept()
+    assert client.protocol.open == 2 and net.frontend.clients_with_txs == 1
+    client.unread = b""  # its close has arrived
+    net.start_turn()
+    client.feed(mg(3))
+    net.run(10)
+    assert client.lost and client.protocol.open == 0 and net.frontend.clients_with_txs == 0
