At one address a host that started before this machine is newer than one of long ago

Found on reading the change again: a start time on the monotonic clock is negative for a host that has run for longer than the balancer's machine, and 0 means long ago, so the new host would have counted as the older one and been drained. The test failed before.

--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -520,7 +520,7 @@
         """
         current = {} if complete else dict(self.host_entries)
         current.update((member.id, member) for member in members)
-        newest: dict[Address, tuple[int, bool]] = {}
+        newest: dict[Address, tuple[bool, int, bool]] = {}
         for entry in current.values():
             if entry.status is not m.HostStatus.GONE:
                 order = self._start_order(entry)
@@ -534,9 +534,10 @@
             return members
         return tuple(member for member in members if member.id not in retired) + tuple(retired.values())
 
-    def _start_order(self, entry: HostEntry) -> tuple[int, bool]:
-        """Orders hosts at one address by their start, and by whether they are new where starts are equal."""
-        return entry.started_at, entry.id not in self.host_indices
+    def _start_order(self, entry: HostEntry) -> tuple[bool, int, bool]:
+        """Orders hosts at one address by their start, long ago first, and by whether they are new where it is equal."""
+        # A start time on this clock may be negative: the host has run for longer than this machine.
+        return entry.started_at != 0, entry.started_at, entry.id not in self.host_indices
 
     def _check_host_sockets(self) -> None:
         """Warns once each time that the hosts outnumber their sockets. Idle connections are then closed for others."""
--- a/tests/test_same_address.py
+++ b/tests/test_same_address.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from ternquay import model as m
+from ternquay.net.listing import parse_list
 from tests.helper import Net, Scenario, listed_host, member
 from tests.test_net import mg, va
 
@@ -36,6 +37,14 @@
         assert ready == ["h2"]
 
 
+def test_a_start_before_that_of_this_machine_is_later_than_long_ago() -> None:
+    net = Net(hosts=1)
+    entry = parse_list({"revision": 2, "complete": False, "members": [at_first_address(2, since=1)]}, 10**15)[2]
+    net.dispatcher.update_hosts(False, entry)
+    assert entry[0].started_at < 0 and net.dispatcher.host_entries["h1"].status is m.HostStatus.DRAINING
+    assert net.dispatcher.host_entries["h2"].status is m.HostStatus.READY
+
+
 def test_two_names_of_one_address_that_nothing_tells_apart_both_stay() -> None:
     net = Net(hosts=0)
     net.list(at_first_address(1, since=0), at_first_address(2, since=0), complete=True)
