--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -9,12 +9,13 @@
 from ternquay.hosted.shared.fairness import ClientLimiter, SharedCapacity
 from ternquay.hosted.shared.scheduler import PIECE_NS, FairScheduler
 from ternquay.net import meta
-from ternquay.net.client import MAX_PENDING_ANSWERS, ClientConnection, PendingAnswer
+from ternquay.net.client import MAX_PENDING_ANSWERS, ClientConnection
 from ternquay.net.dispatcher import Dispatcher
 from ternquay.net.frontend import Frontend
 from ternquay.net.limits import Limits
 from ternquay.net.listener import Listener
 from ternquay.net.loop_timing import LoopTiming
+from ternquay.net.pending_answer import PendingAnswer
 from ternquay.net.safety import CloseReason, RequestRefusal
 from ternquay.net.sockets import Sockets
 
