--- a/review/stage/stage.py
+++ b/review/stage/stage.py
@@ -34,7 +34,8 @@
     """The file record.txt of a case: what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, folder: Path) -> None:
-        self.begin, self.file = now(), open(folder / "record.txt", "w")
+        self.begin = now()
+        self.file = open(folder / "record.txt", "w")  # noqa: SIM115  closed when the play ends
 
     def __call__(self, text: str) -> None:
         self.file.write(f"{now() - self.begin:9.4f}  {text}\n")
