--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -367,12 +367,17 @@
             self.ports.pop(endpoint).stopListening()
 
     def has_ended(self) -> bool:
-        """Whether the tenant is ending and has nothing open any more, or has been ending for too long."""
+        """Whether the tenant is ending and has nothing open any more, or has been ending for too long.
+
+        A large value under way is waited for. One that stands still ends by the stall timeouts.
+        """
         if not self.ending_since:
             return False
         longest = max(one.profile.hard_limit for one in self.entry.tenant.profiles)
         waited = self.dispatcher.now() - self.ending_since
-        return (not self.frontend.clients and not self.dispatcher.open_txs) or waited > longest + SECOND
+        if not self.frontend.clients and not self.dispatcher.open_txs:
+            return True
+        return waited > longest + SECOND and not self.frontend.writes_values()
 
     def remove(self) -> None:
         """Closes everything; the tenant exists no longer."""
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -12,10 +12,11 @@
 from ternquay.net.dispatcher import KNOWN_REQUEST_ID, UNKNOWN_PROFILE, DelayedCall, IncomingTx, cancel_call
 from ternquay.net.driver import Driver
 from ternquay.net.limits import MS
-from ternquay.net.pending_answer import PendingAnswer, UnverifiedRequest
+from ternquay.net.pending_answer import PendingAnswer, PostponedRequest
 from ternquay.net.receive_backlog import ReceiveBacklog
 from ternquay.net.request_deadline import RequestDeadline
 from ternquay.net.safety import CloseReason, RequestRefusal, may_close
+from ternquay.net.value_hold import HoldState
 from ternquay.net.value_stream import ValueStream
 
 if TYPE_CHECKING:
@@ -59,7 +60,9 @@
         self.accepted_at = 0
         self.value_call: DelayedCall | None = None  # the next check of a large value that is held back
         self.backlog = ReceiveBacklog()
-        self.unverified: list[UnverifiedRequest] = []  # read from an old backlog, in order
+        self.unverified: list[PostponedRequest] = []  # read from an old backlog, in order
+        self.postponed: list[PostponedRequest] = []  # read behind a value that may break off, in order
+        self.pipelines = False  # it has sent a request before it had the answer to another one
         self.seen_at = 0  # when the client was last found connected, with requests to handle
         self.accepted_iteration = 0  # the loop iteration in which it was accepted
         self.readable_since = 0  # the earliest time at which its first bytes may have arrived; 0 once they are read
@@ -300,6 +303,13 @@
         elif self.reading_paused or self._peek():
             pending_answer.dispatcher.value_overdue(pending_answer.tx)
 
+    def refuse_held_value(self) -> None:
+        """Refuses the request whose value no cache host takes. The rest of the value is discarded as it arrives."""
+        if self.streaming is not None:
+            self.streaming.dispatcher.value_overdue(self.streaming.tx)
+        if self.stream_held:
+            self.abort(CloseReason.VALUE_BROKEN)
+
     def value_received(self) -> None:
         """The last byte of a large value arrived."""
         pending_answer, stream = self.streaming, self.incoming
@@ -366,6 +376,7 @@
     def accept_command(self, command: meta.Command) -> None:
         """Refuses a command or starts its transaction."""
         pending_answer = PendingAnswer(self, command)
+        self.pipelines = self.pipelines or bool(self.pending)
         self.pending.append(pending_answer)
         if command.stream_length:
             self.streaming, self.incoming = (
@@ -385,13 +396,14 @@
             self.refuse(pending_answer, refusal)
             return
         unread = loop_timing.max_unread_time(now, self.first_byte_since())
+        request = PostponedRequest(command, pending_answer, now, unread)
         if not self.backlog.is_old(now):
-            self.begin_transaction(command, pending_answer, unread)
+            self.begin_or_postpone(request)
         elif command.stream_length:
             # The bytes behind its first line are unread, so the client can't be known to be there.
             self.refuse(pending_answer, RequestRefusal.BACKLOG)
         else:
-            self.unverified.append(UnverifiedRequest(command, pending_answer, now, unread))
+            self.unverified.append(request)
             if len(self.unverified) == 1:
                 # The loop polls between two delayed calls, and reads what is left.
                 self.frontend.reactor.callLater(0, self.frontend.reactor.callLater, 0, self.begin_unverified)
@@ -414,7 +426,51 @@
             if more_unread:
                 self.refuse(request.pending_answer, RequestRefusal.BACKLOG)
             else:
-                self.begin_transaction(request.command, request.pending_answer, request.unread + now - request.read_at)
+                self.begin_or_postpone(request)
+
+    # ---- requests behind a large value ----
+
+    def begin_or_postpone(self, request: PostponedRequest) -> None:
+        """Begins a request, or postpones it while a value before it may break off, which would lose its answer."""
+        if not self.postponed and not self.value_may_break():
+            self.begin_request(request)
+        elif request.command.stream_length or not self.may_postpone(request):
+            self.refuse(request.pending_answer, RequestRefusal.VALUE_AHEAD)
+        else:
+            self.postponed.append(request)
+
+    def value_may_break(self) -> bool:
+        """Whether a large value is being written whose last byte has not arrived."""
+        first = self.pending[0] if self.pending else None
+        return isinstance(first, PendingAnswer) and first.value_may_break()
+
+    def may_postpone(self, request: PostponedRequest) -> bool:
+        """Whether there is memory for one more postponed request: a piece of the value, or one line."""
+        kept = sum(postponed.command.size() for postponed in self.postponed)
+        room = max(self.frontend.limits.line_bytes, self.frontend.dispatcher.streams.piece_bytes())
+        return kept + request.command.size() <= room
+
+    def begin_request(self, request: PostponedRequest) -> None:
+        """Begins a request; the time since it was read counts as if it had not been read."""
+        waited = self.frontend.dispatcher.now() - request.read_at
+        self.begin_transaction(request.command, request.pending_answer, request.unread + waited)
+
+    def begin_postponed(self) -> None:
+        """Begins the requests behind a value that has arrived completely."""
+        waiting, self.postponed = self.postponed, []
+        if self.ended or not waiting:
+            return
+        if self.peer_closed():
+            self.client_departed()
+            return
+        self.seen_at = self.connected_at()
+        for request in waiting:
+            if request.pending_answer.answer is None and not self.ended:
+                self.begin_or_postpone(request)
+
+    def may_get_more_requests(self) -> bool:
+        """Whether requests wait behind the first answer, or are likely to come before it is written."""
+        return self.pipelines or len(self.pending) > 1 or not self.parser.is_idle() or self.has_unread_bytes()
 
     def refuse(self, pending_answer: PendingAnswer, reason: RequestRefusal) -> None:
         """Refuses a request that was not begun."""
@@ -434,6 +490,8 @@
     def begin_transaction(self, command: meta.Command, pending_answer: PendingAnswer, unread: int) -> None:
         """Passes a transaction to the dispatcher. `unread`: the longest time that the command waited to be read."""
         dispatcher = self.frontend.dispatcher
+        ttl = max(0, command.ttl_ms * MS - unread)
+        pending_answer.due = dispatcher.now() + min(ttl, dispatcher.hard_limit(command.profile))
         if command.is_write and not command.has_idempotency_key and dispatcher.needs_idempotency_key(command.profile):
             pending_answer.set_answer(b"CLIENT_ERROR a keyed write without its key\r\n")
             return
@@ -441,7 +499,7 @@
             command.profile,
             self.share_name(command),
             command.key.decode("latin-1"),
-            max(0, command.ttl_ms * MS - unread),
+            ttl,
             command.is_retry,
             command.is_write,
             command,
@@ -471,15 +529,9 @@
         """Writes all answers up to the first one that is not known yet."""
         while self.pending and not self.ended:
             first = self.pending[0]
-            text = first if isinstance(first, bytes) else first.answer
-            if text is None:
-                return
-            if isinstance(first, PendingAnswer) and first.stream is not None:
-                if not self.write_stream(first, first.stream):
-                    return
-                text = b"\r\n"
-            if self.queued_bytes >= self.frontend.limits.write_ahead_bytes:
-                return  # goes on when the operating system has taken what is queued
+            text = first if isinstance(first, bytes) else self.next_text(first)
+            if text is None or self.queued_bytes >= self.frontend.limits.write_ahead_bytes:
+                return  # goes on when the answer is known, or the operating system has taken what is queued
             self.pending.popleft()
             self._answer_written()
             self.answered = True
@@ -492,22 +544,49 @@
             else:
                 self.frontend.mark_idle(self)
 
+    def next_text(self, first: PendingAnswer) -> bytes | None:
+        """Returns the text with which the first answer ends, or None while that may not be written.
+
+        The part of a large value before it is written here, as it arrives.
+        """
+        if first.stream is not None and not first.value_begun and not self.begin_value(first, first.stream):
+            return None
+        if first.stream is None:
+            return first.answer
+        return b"\r\n" if self.write_stream(first, first.stream) else None
+
     def _answer_written(self) -> None:
         """Reads on once there is room for answers again."""
         if len(self.pending) == MAX_PENDING_ANSWERS // 2 and self.reading_paused:
             self._continue_later()
 
+    def begin_value(self, pending_answer: PendingAnswer, stream: ValueStream) -> bool:
+        """Writes the first line of a large value, unless the value is to be kept until it is whole.
+
+        Returns whether the answer is ready to be written further, which it also is if the value broke off meanwhile.
+        """
+        state = HoldState.PASS_ON
+        if stream.aborted:
+            state = HoldState.FAIL
+        elif pending_answer.hold is not None or (self.may_get_more_requests() and stream.keep_whole()):
+            state = pending_answer.hold_value(stream)
+        if state is HoldState.FAIL:
+            pending_answer.fail_value()
+        elif state is HoldState.PASS_ON:
+            header, pending_answer.answer = pending_answer.answer or b"", b""
+            pending_answer.value_begun = True
+            self.write_chunk(header)
+            self.count_known(-len(header))
+        return state is not HoldState.KEEP
+
     def write_stream(self, pending_answer: PendingAnswer, stream: ValueStream) -> bool:
         """Writes the next chunk of a large value once the previous one was sent. Returns whether the value is done."""
         if stream.aborted:
             # Closed before its full length, so that the client does not take the value for complete.
             self.close(CloseReason.VALUE_BROKEN)
             return False
-        if pending_answer.answer:
-            self.write_chunk(pending_answer.answer)
-            self.count_known(-len(pending_answer.answer))
-            pending_answer.answer = b""
-            return False
+        if stream.complete and self.postponed:
+            self.frontend.reactor.callLater(0, self.begin_postponed)
         if self.queued_bytes:
             return False
         data = stream.take()
@@ -558,10 +637,16 @@
         """Returns the ids of requests whose answers are not written yet, known or not."""
         return [item.id() for item in self.pending if isinstance(item, PendingAnswer)]
 
+    def ids_behind_value(self) -> list[str]:
+        """Returns the ids of the requests behind the first answer that were begun and not only read."""
+        return self.pending_ids()[1 : len(self.pending) - len(self.postponed)]
+
     def close(self, reason: CloseReason) -> None:
         """Closes the connection once all written bytes are sent."""
         if not self.ended:
-            self.frontend.safety.record_client_close(reason, self.pending_ids())
+            # A value that breaks off is no answer that is owed, as its client can tell that it is not whole.
+            owed = self.ids_behind_value() if reason is CloseReason.VALUE_BROKEN else self.pending_ids()
+            self.frontend.safety.record_client_close(reason, owed)
             self.ended = True
             self.close_after_write()
 
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -260,6 +260,11 @@
         index = self.names.profiles.get(profile)
         return index is not None and self.config.profiles[index].semantics is m.Semantics.IDEMPOTENT
 
+    def hard_limit(self, profile: str) -> int:
+        """Returns the time limit of a transaction of this profile in nanoseconds, 0 if there is no such profile."""
+        index = self.names.profiles.get(profile)
+        return 0 if index is None else self.config.profiles[index].hard_limit
+
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
         """Accepts a transaction and returns its id, or UNKNOWN_PROFILE or KNOWN_REQUEST_ID.
 
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -289,9 +289,10 @@
         """Closes clients that hold resources and make no progress."""
         # After a stall of the process this runs before the bytes that arrived meanwhile are read.
         for client in [c for c in self.clients if c.is_stalled() and (c.queued_bytes or not c.has_unread_bytes())]:
-            client.abort(
-                CloseReason.ANSWERS_UNREAD if client.queued_bytes or client.ended else CloseReason.VALUE_BROKEN
-            )
+            if client.queued_bytes or client.ended:
+                client.abort(CloseReason.ANSWERS_UNREAD)
+            else:
+                client.refuse_held_value()
         self.close_unread()
         if self.accepting_paused:
             self.close_longest_idle()
--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -6,6 +6,7 @@
 from ternquay.net import meta
 from ternquay.net.limits import MS
 from ternquay.net.safety import RequestRefusal
+from ternquay.net.value_hold import HoldState, ValueHold, begin_hold
 from ternquay.net.value_stream import ValueStream
 
 if TYPE_CHECKING:
@@ -15,18 +16,34 @@
 class PendingAnswer:
     """One answer that a client waits for, in request order. It is the Requester of its transaction."""
 
-    __slots__ = ("client", "command", "counted_open", "dispatcher", "stream", "answer", "tx")
+    __slots__ = (
+        "client",
+        "command",
+        "counted_open",
+        "dispatcher",
+        "stream",
+        "value_begun",
+        "hold",
+        "due",
+        "committed_at",
+        "answer",
+        "tx",
+    )
 
     def __init__(self, client: "ClientConnection", command: meta.Command) -> None:
         self.client, self.command, self.dispatcher = client, command, client.frontend.dispatcher
         self.answer: bytes | None = None
         self.stream: ValueStream | None = None  # a large value of the answer, as it arrives
+        self.value_begun = False  # its first line was written
+        self.hold: ValueHold | None = None  # while the value is kept until it is whole
+        self.due = self.committed_at = 0  # when its client stops waiting; when the value began to arrive
         self.tx = -1
         self.counted_open = False  # a subclass counts it as an open transaction of its client
 
     def commit(self, answer: bytes | ValueStream) -> None:
         if isinstance(answer, ValueStream):
             self.stream, answer.on_data = answer, self.client.flush
+            self.committed_at = self.dispatcher.now()
             self.set_answer(meta.value_header(self.command, answer.length))
             return
         text = meta.committed(self.command, answer)
@@ -34,10 +51,36 @@
             self.set_answer(text)
             return
         self.client.frontend.safety.record_request_refusal(RequestRefusal.MEMORY, self.id)
-        if self.dispatcher.is_idempotent(self.command.profile):
-            self.roll_back(self.dispatcher.jittered(self.client.frontend.limits.retry_after))
-        else:
-            self.abandon()
+        self.set_answer(self._failure())
+
+    def _failure(self) -> bytes:
+        """Returns the answer of a request that has run and whose value can't be passed on."""
+        if not self.dispatcher.is_idempotent(self.command.profile):
+            return meta.ABANDONED
+        return meta.rolled_back(self.dispatcher.jittered(self.client.frontend.limits.retry_after) // MS)
+
+    def value_may_break(self) -> bool:
+        """Whether a large value is being passed on whose last byte has not arrived."""
+        return self.value_begun and self.stream is not None and not self.stream.complete
+
+    def hold_value(self, stream: ValueStream) -> HoldState:
+        """Returns whether the large value is kept until it is whole, or for how long it may be held back."""
+        now = self.dispatcher.now()
+        if self.hold is None:
+            # The time for which it waited behind other answers does not count.
+            self.hold = begin_hold(stream, now, self.due - self.committed_at)
+            self.dispatcher.call_at(self.hold.until + MS, self.client.flush)  # later than `until`, also when rounded
+        return self.hold.state(stream, now)
+
+    def fail_value(self) -> None:
+        """Answers with an error in place of a large value of which nothing was passed on."""
+        stream, self.stream = self.stream, None
+        if stream is None or self.answer is None:
+            return
+        self.client.frontend.safety.record_request_refusal(RequestRefusal.VALUE_BROKEN, self.id)
+        header, self.answer = self.answer, self._failure()
+        self.client.count_known(len(self.answer) - len(header))
+        stream.discard()
 
     def roll_back(self, wait: int) -> None:
         self.set_answer(meta.rolled_back(wait // MS))
@@ -68,8 +111,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnverifiedRequest:
-    """A request that is begun once its client is known to be there. Times are integer nanoseconds."""
+class PostponedRequest:
+    """A request that was read and is begun later. Times are integer nanoseconds."""
 
     command: meta.Command
     pending_answer: PendingAnswer
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -68,6 +68,8 @@
     MEMORY = "there is no memory for it"
     VALUE_HELD = "no server took its value in time"
     BACKLOG = "it was read late, and its client may have closed behind what is unread"
+    VALUE_AHEAD = "a value before it may still break off, and there is no memory to keep it until then"
+    VALUE_BROKEN = "its value broke off before the first byte was passed on"
 
 
 class Violation(StrEnum):
@@ -79,7 +81,7 @@
 
 
 # These closes are never postponed: the client is at fault, or its listener was removed.
-UNCONDITIONAL_CLOSES = frozenset({CloseReason.ANSWERS_UNREAD, CloseReason.VALUE_BROKEN, CloseReason.REMOVED})
+UNCONDITIONAL_CLOSES = frozenset({CloseReason.ANSWERS_UNREAD, CloseReason.REMOVED})
 # Routine closes are counted but not logged.
 ROUTINE_CLOSES = frozenset({CloseReason.IDLE, CloseReason.LEAVING})
 
