--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -25,7 +25,13 @@
     SetState,
     VersionConflict,
 )
-from ternquay.hosted.tenants.runtime import PreparedListeners, ProcessResources, TenantRuntime, bind_listeners
+from ternquay.hosted.tenants.runtime import (
+    PreparedListener,
+    PreparedListeners,
+    ProcessResources,
+    TenantRuntime,
+    bind_listeners,
+)
 from ternquay.hosted.tenants.shared_hosts import SharedHostTable
 from ternquay.hosted.tenants.tenant import Guarantee, InvalidField, State, Tenant
 from ternquay.net import library_log
@@ -102,11 +108,15 @@
         bound = before.tenant.listeners if before is not None else ()
         new = tuple(endpoint for endpoint in after.tenant.listeners if endpoint not in bound)
         try:
-            return bind_listeners(self.reactor, new, self.own_address)
+            return bind_listeners(self.reactor, new, self.own_address, self._closing_ports())
         except InvalidField as fault:
             index = after.tenant.listeners.index(new[int(fault.field[len("listeners[") : -1])])
             raise InvalidField(f"listeners[{index}]", fault.reason) from fault
 
+    def _closing_ports(self) -> list[PreparedListener]:
+        """Returns the listeners of all tenants that are about to close."""
+        return [port for runtime in self.runtimes.values() for port in runtime.closing_ports()]
+
     def apply(self, registry: Registry, name: str, prepared: PreparedListeners) -> None:
         """Applies the change to one tenant in one step. If it raises, the other tenants are as they were."""
         self.registry = registry
@@ -282,9 +292,8 @@
         return sum(not tx.answered for runtime in self.runtimes.values() for tx in runtime.dispatcher.open_txs.values())
 
     def _close_listeners(self) -> None:
-        closed = [runtime.close_listeners(not runtime.frontend.leaving) for runtime in self.runtimes.values()]
-        if not all(closed):
-            self.reactor.callLater(0.01, self._close_listeners)
+        for runtime in self.runtimes.values():
+            runtime.close_listeners()
 
     def _close_clients(self) -> None:
         for runtime in self.runtimes.values():
@@ -292,7 +301,7 @@
         self._wait_for_clients()
 
     def _wait_for_clients(self) -> None:
-        if any(runtime.frontend.clients for runtime in self.runtimes.values()):
+        if any(runtime.frontend.clients or runtime.closing_listeners.ports for runtime in self.runtimes.values()):
             self.reactor.callLater(0.01, self._wait_for_clients)
         else:
             self._stop()
--- a/ternquay/hosted/shared/frontend.py
+++ b/ternquay/hosted/shared/frontend.py
@@ -393,7 +393,7 @@
         self.queued = False
         if self.connected and not self.disconnecting:
             self.accept()
-            if not self.frontend.accepting_paused and self.pause_call is None:
+            if self.accepting and self.pause_call is None:
                 self.startReading()
         return False
 
--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -1,8 +1,10 @@
 """Runs one tenant on sockets: listeners, frontend, dispatcher, decisions, connection pool and source of cache hosts."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from functools import partial
+from socket import socket
 from typing import Any
 
 from twisted.internet.error import CannotListenError
@@ -16,7 +18,13 @@
 from ternquay.hosted.tenants.registry import TenantEntry
 from ternquay.hosted.tenants.shared_hosts import ListEntry, SharedHostTable
 from ternquay.hosted.tenants.tenant import Endpoint, InvalidField, Server, State, Tenant
-from ternquay.net.closing import accept_all_waiting
+from ternquay.net.closing import ClosingListeners
+from ternquay.net.connection_filter import (
+    allow_connection_requests,
+    block_connection_requests,
+    direct_connection_requests,
+    share_address,
+)
 from ternquay.net.discovery import Discovery
 from ternquay.net.dispatcher import Dispatcher, OutgoingHop
 from ternquay.net.host_connection import HostConnection
@@ -32,6 +40,7 @@
 MAX_BACKOFF_NS = SECOND
 SPARE_SOCKETS = 8  # for clients that connect when the tenant is full: they are told so and closed
 MAX_INDICES = 10_000
+MAX_END_NS = 60 * SECOND  # of a tenant in whose listeners clients still wait
 
 
 @dataclass(slots=True, frozen=True)
@@ -215,13 +224,19 @@
         """Closes the listeners that were not opened."""
         for port in self.ports.values():
             if port.awaiting_open:  # else it is in use
-                port.stopListening()
+                port.close()
 
 
 class PreparedListener(TenantListener):
-    """Binds at once but accepts only after open(), because the change may still fail in between."""
+    """Binds at once but takes connections only after open(), because the change may still fail in between."""
 
     awaiting_open = True
+    endpoint: Endpoint
+
+    def createInternetSocket(self) -> socket:
+        own: socket = super().createInternetSocket()
+        block_connection_requests(own)
+        return own
 
     def startReading(self) -> None:
         if not self.awaiting_open:
@@ -229,26 +244,50 @@
 
     def open(self, frontend: TenantFrontend, accepted: Callable[[bool], None]) -> None:
         self.frontend, self.factory, self.on_accepted, self.awaiting_open = frontend, frontend, accepted, False
+        with suppress(OSError):  # there is no filter where the system can't attach one
+            allow_connection_requests(self.socket)
         self.startReading()
 
 
+class SharingListener(PreparedListener):
+    """A listener at an address at which others are closing. It gets all new connections."""
+
+    def __init__(self, closing: list[PreparedListener], *args: Any) -> None:
+        super().__init__(*args)
+        self._reusePort, self.closing = True, closing
+
+    def startListening(self) -> None:
+        for port in self.closing:
+            share_address(port.socket)
+        super().startListening()
+        direct_connection_requests(self.socket, len(self.closing))
+
+
 def bind_listeners(
-    reactor: Any, endpoints: tuple[Endpoint, ...], own_address: str = "", backlog: int = 1024
+    reactor: Any,
+    endpoints: tuple[Endpoint, ...],
+    own_address: str = "",
+    closing: Iterable[PreparedListener] = (),
+    backlog: int = 1024,
 ) -> PreparedListeners:
     """Binds a listener to each endpoint; `own_address`, if given, replaces 0.0.0.0.
 
+    `closing` has the listeners of this process that are still open, as clients wait in them, but are about to close.
     Raises InvalidField if one can't be bound, and leaves none bound then.
     """
     prepared = PreparedListeners()
     for i, endpoint in enumerate(endpoints):
         host = own_address if own_address and endpoint.host == "0.0.0.0" else endpoint.host
-        port = PreparedListener(endpoint.port, Factory(), backlog, host, reactor)
+        arguments = endpoint.port, Factory(), backlog, host, reactor
+        beside = [port for port in closing if port.endpoint == endpoint]
+        port = SharingListener(beside, *arguments) if beside else PreparedListener(*arguments)
         try:
             port.startListening()
-        except CannotListenError as fault:
+        except (CannotListenError, OSError) as fault:
             prepared.drop()
-            raise InvalidField(f"listeners[{i}]", f"can't be bound: {fault.socketError}") from fault
-        prepared.ports[endpoint] = port
+            cause = fault.socketError if isinstance(fault, CannotListenError) else fault
+            raise InvalidField(f"listeners[{i}]", f"can't be bound: {cause}") from fault
+        port.endpoint, prepared.ports[endpoint] = endpoint, port
     return prepared
 
 
@@ -289,6 +328,8 @@
             partial(resources.admission_delay, tenant.name) if resources.admission_delay is not None else None
         )
         self.ports: dict[Endpoint, Any] = {}  # open listeners
+        self.closing_listeners = ClosingListeners(reactor, self.sockets, self.frontend.close_longest_idle)
+        self.closing_listeners.on_closed = self._update_accepting
         self.host_list: dict[str, HostEntry] = {}  # by host id
         self.start_times = StartTimes(resources.wall_clock_offset)
         self.discovery: Discovery | None = None
@@ -339,8 +380,16 @@
         for endpoint, port in prepared.ports.items():
             port.open(self.frontend, self.loop_timing.accept_ended)
             self.ports[endpoint] = port
+        self._update_accepting()
 
     def _set_accepting(self, accept: bool) -> None:
+        """Starts or stops accepting. Who waits in a listener that is about to close comes first."""
+        if accept:
+            self.closing_listeners.accept_waiting()
+        self._update_accepting()
+
+    def _update_accepting(self) -> None:
+        accept = not self.frontend.accepting_paused and not self.closing_listeners.ports
         for port in self.ports.values():
             port.set_accepting(accept)
 
@@ -351,20 +400,18 @@
             self.close_listeners()
             self.frontend.leave()
 
-    def close_listeners(self, drain_backlog: bool = False) -> bool:
-        """Closes the listeners; returns whether all are closed.
-
-        With `drain_backlog` a listener stays open while clients wait in its backlog that don't fit in yet.
-        """
+    def close_listeners(self) -> None:
+        """Closes the listeners. One in whose accept queue clients wait that don't fit in yet stays until they do."""
         for endpoint in list(self.ports):
-            self._close_listener(endpoint, drain_backlog)
-        if self.ports:
-            self.frontend.close_longest_idle()
-        return not self.ports
+            self._close_listener(endpoint)
+
+    def closing_ports(self) -> list[PreparedListener]:
+        """Returns the listeners that are about to close."""
+        return [port for port in self.closing_listeners.ports if isinstance(port, PreparedListener)]
 
-    def _close_listener(self, endpoint: Endpoint, drain_backlog: bool = False) -> None:
-        if accept_all_waiting(self.ports[endpoint], self.sockets) or not drain_backlog:
-            self.ports.pop(endpoint).stopListening()
+    def _close_listener(self, endpoint: Endpoint) -> None:
+        self.closing_listeners.add(self.ports.pop(endpoint))
+        self._update_accepting()
 
     def has_ended(self) -> bool:
         """Whether the tenant is ending and has nothing open any more, or has been ending for too long.
@@ -375,6 +422,8 @@
             return False
         longest = max(one.profile.hard_limit for one in self.entry.tenant.profiles)
         waited = self.dispatcher.now() - self.ending_since
+        if self.closing_listeners.ports:
+            return waited > MAX_END_NS
         if not self.frontend.clients and not self.dispatcher.open_txs:
             return True
         return waited > longest + SECOND and not self.frontend.writes_values()
@@ -382,6 +431,7 @@
     def remove(self) -> None:
         """Closes everything; the tenant exists no longer."""
         self.close_listeners()
+        self.closing_listeners.close_all()
         if self.discovery is not None:
             self.discovery.stop()
         for client in list(self.frontend.clients):
--- a/ternquay/net/listener.py
+++ b/ternquay/net/listener.py
@@ -29,8 +29,10 @@
 from typing import Any
 
 from loguru import logger
+from twisted.internet.protocol import connectionDone
 from twisted.internet.tcp import Port
 
+from ternquay.net.connection_filter import block_connection_requests
 from ternquay.net.transports import BackoffServer
 
 # Errors of the one connection that is being accepted: accept(2) passes them on, or a firewall rejects it.
@@ -83,11 +85,31 @@
         else:
             self.stopReading()
 
-    def queue_length(self) -> int:
-        """Returns the length of the accept queue, or an assumed one where the kernel only reports that some wait."""
+    def stop_connecting(self) -> None:
+        """Takes no new connections; those in the accept queue can still be accepted.
+
+        An adopted socket goes on taking them, for whoever else holds it.
+        """
+        self.accepting = False
+        self.stopReading()
+        if self._shouldShutdown:
+            block_connection_requests(self.socket)
+
+    def close(self) -> None:
+        """Closes the socket at once. stopListening() does so a turn later, and resets who connects in between."""
+        self.stopReading()
+        if self.connected:
+            self.connectionLost(connectionDone)
+
+    def has_waiting(self) -> bool:
+        """Returns whether a connection waits in the accept queue."""
         poller = poll()
         poller.register(self.socket.fileno(), POLLIN)
-        if not poller.poll(0):
+        return bool(poller.poll(0))
+
+    def queue_length(self) -> int:
+        """Returns the length of the accept queue, or an assumed one where the kernel only reports that some wait."""
+        if not self.has_waiting():
             return 0
         try:
             info = self.socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_UNACKED.size)
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -18,7 +18,7 @@
 
 from ternquay.balance import Balancer
 from ternquay.net import library_log, meta
-from ternquay.net.closing import accept_all_waiting, after_answers_sent
+from ternquay.net.closing import ClosingListeners, after_answers_sent
 from ternquay.net.config import BalancerConfig, ConfigError, read_config
 from ternquay.net.discovery import Discovery
 from ternquay.net.dispatcher import Dispatcher, cancel_call
@@ -88,6 +88,7 @@
         self.frontend = Frontend(reactor, self.dispatcher, self.limits, sockets, self.loop_timing)
         self.discovery = self._create_discovery(config.discovery)
         self.port: Any = None
+        self.closing_listeners = ClosingListeners(reactor, sockets, self.frontend.close_longest_idle)
         self.listen_deadline = reactor.seconds() + LISTEN_TIMEOUT_SECONDS
         self.management = ManagementPort(reactor, self, self.limits) if config.management is not None else None
         self.startup_error: ConfigError | None = None  # found when the loop was already running
@@ -288,24 +289,14 @@
         self.reactor.callLater(self.limits.stop_after / SECOND, self._flush_and_exit)
 
     def _stop_accepting(self) -> None:
-        """Closes the listening socket, first accepting the connections in its queue as far as there is room."""
-        self.frontend.set_accepting = lambda accept: None
+        """Closes the listening socket once the connections in its accept queue are accepted."""
+        self.frontend.set_accepting = lambda accept: self.closing_listeners.accept_waiting() if accept else None
         self.frontend.accept_queue_length = lambda: 0
-        port = self.port
-        # A second process, if there may be one, shares the accept queue of the listening socket.
-        own_queue = self.replacement is None and isinstance(port, Listener)
-        if (
-            isinstance(port, Listener)
-            and own_queue
-            and not accept_all_waiting(port, self.sockets)
-            and not self.frontend.leaving
-        ):
-            self.frontend.close_longest_idle()
-            self.reactor.callLater(0.01, self._stop_accepting)
-            return
-        self.port = None
-        if port is not None:
-            port.stopListening()
+        port, self.port = self.port, None
+        if isinstance(port, Listener) and self.replacement is None:
+            self.closing_listeners.add(port)
+        elif port is not None:
+            port.stopListening()  # a second process, if there may be one, shares the accept queue of the socket
 
     def _close_clients(self) -> None:
         """Closes connections between transactions, and exits when all are closed."""
@@ -313,7 +304,7 @@
         self._wait_for_clients()
 
     def _wait_for_clients(self) -> None:
-        if self.frontend.clients:
+        if self.frontend.clients or self.closing_listeners.ports:
             self.reactor.callLater(0.01, self._wait_for_clients)
         else:
             self._flush_and_exit()
--- a/tests/test_hosted_endings.py
+++ b/tests/test_hosted_endings.py
@@ -172,7 +172,13 @@
     def set_accepting(self, accept: bool) -> None:
         pass
 
-    def stopListening(self) -> None:
+    def has_waiting(self) -> bool:
+        return self.waiting > 0
+
+    def stop_connecting(self) -> None:
+        pass
+
+    def close(self) -> None:
         self.closed = True
 
 
