--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -16,6 +16,7 @@
 from ternquay.net.receive_backlog import ReceiveBacklog
 from ternquay.net.request_deadline import RequestDeadline
 from ternquay.net.safety import CloseReason, RequestRefusal, may_close
+from ternquay.net.send_progress import PATIENT, SHORT, SendProgress
 from ternquay.net.value_hold import HoldState
 from ternquay.net.value_stream import ValueStream
 
@@ -52,8 +53,8 @@
         self.queued_bytes = 0  # bytes that the operating system has not accepted yet
         self.unsent_answer_bytes = 0  # of these, without those of large values
         self.known_answer_bytes = 0  # of answers that are known and not written yet
-        self.unsent_since = 0  # when it was first seen that no queued bytes are accepted; 0: not checked
-        self.sent_before = 0  # bytes that the operating system had accepted at the last check
+        self.value_queued = False  # a part of a large value is among the queued bytes
+        self.send_progress = SendProgress()  # of the queued bytes
         self.streaming: PendingAnswer | None = None  # the request whose large value is arriving
         self.incoming: ValueStream | None = None  # the large value that is arriving
         self.last_activity = 0  # when bytes were last read or written
@@ -303,6 +304,10 @@
         elif self.reading_paused or self._peek():
             pending_answer.dispatcher.value_overdue(pending_answer.tx)
 
+    def value_taken(self) -> None:
+        """A cache host still takes the large value that is held back, however slowly."""
+        self.last_activity = self.frontend.dispatcher.now()
+
     def refuse_held_value(self) -> None:
         """Refuses the request whose value no cache host takes. The rest of the value is discarded as it arrives."""
         if self.streaming is not None:
@@ -383,6 +388,7 @@
                 pending_answer,
                 ValueStream(command.stream_length, self.frontend.dispatcher.streams, self.hold_stream),
             )
+            self.incoming.on_progress = self.value_taken
             self.read_at_once(self.frontend.dispatcher.streams.piece_bytes())
         now, loop_timing = self.frontend.dispatcher.now(), self.frontend.loop_timing
         # Under CPU overload, each further transaction delays all others, even beyond their hard limits.
@@ -597,12 +603,14 @@
         return stream.all_taken()
 
     def writes_value(self) -> bool:
-        """Whether the first pending answer is a large value."""
+        """Whether the first pending answer is a large value, or the system has not accepted the rest of one."""
         first = self.pending[0] if self.pending else None
-        return isinstance(first, PendingAnswer) and first.stream is not None and not self.ended
+        waits = isinstance(first, PendingAnswer) and first.stream is not None and not self.ended
+        return waits or self.value_queued
 
     def write_chunk(self, data: bytes) -> None:
         """Writes a part of a large value, which does not count towards the limits on queued answers."""
+        self.value_queued = True
         self.queued_bytes += len(data)
         self.last_activity = self.frontend.dispatcher.now()
         self.transport.write(data)
@@ -651,7 +659,7 @@
             self.close_after_write()
 
     def abort(self, reason: CloseReason) -> None:
-        """Closes the connection immediately and drops queued bytes."""
+        """Closes the connection immediately and drops queued bytes, but not those that the system has accepted."""
         if not self.ended:
             owed = self.pending_ids()
             if self.queued_bytes and not owed:
@@ -661,12 +669,17 @@
         # The transport reports the end in a later loop iteration, and others must not pay for these bytes until then.
         self.parser.stop()
         self.frontend.release_memory(self)
-        self.transport.abortConnection()
+        if reason is not CloseReason.ANSWERS_UNREAD and not self.queued_bytes and self.has_unacknowledged_bytes():
+            self.close_after_write()  # a reset would drop answers that the client is about to get
+        else:
+            self.transport.abortConnection()
 
     def resumeProducing(self) -> None:
         """Called by the transport when the operating system has accepted all written bytes."""
         if self.queued_bytes:
-            self.queued_bytes = self.unsent_answer_bytes = self.unsent_since = 0
+            self.queued_bytes = self.unsent_answer_bytes = 0
+            self.value_queued = False
+            self.send_progress.restart()
             self._count_unsent()
             self.last_activity = self.frontend.dispatcher.now()
             self.flush()
@@ -678,13 +691,16 @@
         """Whether the client reads no answers, or its paused request makes no progress, beyond the stall timeout."""
         now = self.frontend.dispatcher.now()
         if self.queued_bytes:
-            return self.unsent_for(now) > self.frontend.limits.stall_timeout
+            return self.has_taken_nothing_for(self.frontend.limits.stall_timeout)
         incomplete = self.ended or (self.stream_held and not self.parser.is_idle())
         return incomplete and now - self.last_activity > self.frontend.limits.stall_timeout
 
-    def unsent_for(self, now: int) -> int:
-        """Returns how long the operating system has accepted no queued bytes. Reading or queueing is no progress."""
-        taken = self.transport.bytes_taken
-        if not self.unsent_since or taken != self.sent_before or self.frontend.loop_timing.process_stalled(now):
-            self.unsent_since, self.sent_before = now, taken
-        return now - self.unsent_since
+    def unsent_for(self) -> int:
+        """Returns how long the client has taken no queued bytes. Reading or queueing is no progress."""
+        now = self.frontend.dispatcher.now()
+        return self.send_progress.idle_time(now, self.send_state(), self.frontend.loop_timing.process_stalled(now))
+
+    def has_taken_nothing_for(self, time_limit: int) -> bool:
+        """Whether the client has taken no queued bytes for longer than this, and for longer than a slow one may."""
+        idle = self.unsent_for()
+        return idle > max(time_limit, self.send_progress.quiet_time(SHORT if self.frontend.is_short() else PATIENT))
--- a/ternquay/net/driver.py
+++ b/ternquay/net/driver.py
@@ -8,8 +8,14 @@
 
 from twisted.protocols.basic import LineReceiver
 
-# The field tcpi_last_data_recv of the kernel's struct tcp_info: milliseconds since data last arrived.
-TCP_INFO_LAST_DATA = Struct("=52xI")
+from ternquay.net.send_progress import SendState
+
+# Fields of the kernel's struct tcp_info, each up to the end of the one that is wanted.
+TCP_INFO_LAST_DATA = Struct("=52xI")  # tcpi_last_data_recv: milliseconds since data last arrived
+TCP_INFO_SEGMENTS = Struct("=16xI4xI")  # tcpi_snd_mss, tcpi_unacked: segments that are out
+TCP_INFO_ACKNOWLEDGED = Struct("=120xQ")  # tcpi_bytes_acked
+TCP_INFO_UNSENT = Struct("=144xI")  # tcpi_notsent_bytes
+TCP_INFO_WINDOW = Struct("=228xI")  # tcpi_snd_wnd
 NS_PER_MS = 1_000_000
 
 
@@ -46,11 +52,30 @@
 
     def receive_idle_ns(self) -> int:
         """Returns the nanoseconds since data last arrived, or 0 if the operating system does not tell."""
+        return _field(self._tcp_info(TCP_INFO_LAST_DATA.size), TCP_INFO_LAST_DATA) * NS_PER_MS
+
+    def send_state(self) -> SendState:
+        """Returns what has been sent so far."""
+        info = self._tcp_info(TCP_INFO_WINDOW.size)
+        return SendState(
+            self.transport.bytes_taken,
+            _field(info, TCP_INFO_ACKNOWLEDGED),
+            _field(info, TCP_INFO_WINDOW),
+            _field(info, TCP_INFO_SEGMENTS),
+        )
+
+    def has_unacknowledged_bytes(self) -> bool:
+        """Returns whether the operating system still has to send bytes that it has accepted, as far as it tells."""
+        info = self._tcp_info(TCP_INFO_UNSENT.size)
+        return _field(info, TCP_INFO_UNSENT) > 0 or _field(info, TCP_INFO_SEGMENTS, 1) > 0
+
+    def _tcp_info(self, size: int) -> bytes:
+        """Returns up to `size` bytes of the kernel's struct tcp_info, none if the operating system does not tell."""
         try:
-            info = self.transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_LAST_DATA.size)
+            info: bytes = self.transport.getHandle().getsockopt(IPPROTO_TCP, TCP_INFO, size)
         except OSError:
-            return 0
-        return int(TCP_INFO_LAST_DATA.unpack(info)[0]) * NS_PER_MS if len(info) == TCP_INFO_LAST_DATA.size else 0
+            return b""
+        return info
 
     def peer_closed(self) -> bool:
         """Returns whether the peer has closed, even if unread bytes arrived before the close."""
@@ -89,3 +114,8 @@
         """Closes the connection once all bytes are written. The transport never would while it has a producer."""
         self.transport.unregisterProducer()
         self.transport.loseConnection()
+
+
+def _field(info: bytes, field: Struct, index: int = 0) -> int:
+    """Returns a field of struct tcp_info, or 0 where an older kernel has no such field."""
+    return int(field.unpack_from(info)[index]) if len(info) >= field.size else 0
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -147,6 +147,10 @@
         """Whether a client waits for an answer or for queued bytes of one."""
         return any(client.pending or client.queued_bytes for client in self.clients)
 
+    def is_short(self) -> bool:
+        """Whether clients that read slowly cost others something: a place, memory, or the end of this process."""
+        return self.accepting_paused or self.leaving or self.answers_exceeded()
+
     def writes_values(self) -> bool:
         """Whether a large value is being written to a client."""
         return any(client.writes_value() for client in self.clients)
@@ -271,13 +275,13 @@
             pass
 
     def close_one_unread(self) -> bool:
-        """Closes the client with unsent answers for longest that takes none. Returns whether there was one."""
-        now = self.dispatcher.now()
-        unread = (client for client in self.unsent_answers if client.queued_bytes)
-        client = next((client for client in unread if client.unsent_for(now) >= MIN_UNSENT_NS), None)
-        if client is not None:
-            client.abort(CloseReason.ANSWERS_UNREAD)
-        return client is not None
+        """Closes the client that has taken no answers for longest. Returns whether there was one."""
+        unread = [client for client in self.unsent_answers if client.queued_bytes]
+        stopped = [client for client in unread if client.has_taken_nothing_for(MIN_UNSENT_NS)]
+        if not stopped:
+            return False
+        max(stopped, key=ClientConnection.unsent_for).abort(CloseReason.ANSWERS_UNREAD)
+        return True
 
     def sweep(self) -> None:
         """Calls close_stale() at a fixed interval, starting now."""
--- a/ternquay/net/host_connection.py
+++ b/ternquay/net/host_connection.py
@@ -19,6 +19,7 @@
 from ternquay.net.limits import MS
 from ternquay.net.meta import Answer, ResponseParser, ValueChunk, ValueHeader
 from ternquay.net.safety import ServerCloseReason
+from ternquay.net.send_progress import SHORT, SendProgress
 from ternquay.net.value_stream import ValueStream, no_receiver
 
 if TYPE_CHECKING:
@@ -43,7 +44,7 @@
         self.incoming: ValueStream | None = None  # a large value that is being received
         self.outgoing: ValueStream | None = None  # the large value of `writing`, which is being sent
         self.write_pending = False  # the operating system has not taken all bytes of `outgoing` yet
-        self.write_pending_since = 0
+        self.send_progress = SendProgress()  # of these bytes
         self.cache_result = 0  # reported by the cache host for the read that `incoming` answers
         self.incoming_moved_at = 0  # when bytes of `incoming` arrived, or reading was paused or resumed
 
@@ -132,7 +133,8 @@
 
     def _write_started(self) -> None:
         """Records that the operating system was given bytes of a large value."""
-        self.write_pending, self.write_pending_since = True, self.pool.dispatcher.now()
+        self.write_pending = True
+        self.send_progress.restart()
 
     def stopProducing(self) -> None:
         pass
@@ -233,15 +235,13 @@
         )
 
     def send_stalled(self) -> bool:
-        """Returns whether the cache host stopped reading a large value, whose client is paused meanwhile.
-
-        A chunk counts as taken when all of it is, so this limit is effectively longer than that of receive_stalled().
-        """
-        return (
-            self.write_pending
-            and self.established
-            and self.pool.dispatcher.now() - self.write_pending_since > self.pool.limits.stall_timeout
-        )
+        """Returns whether the cache host stopped reading a large value, whose client is paused meanwhile."""
+        if not self.write_pending or not self.established:
+            return False
+        idle = self.send_progress.idle_time(self.pool.dispatcher.now(), self.send_state())
+        if not idle and self.outgoing is not None:
+            self.outgoing.on_progress()
+        return idle > max(self.pool.limits.stall_timeout, self.send_progress.quiet_time(SHORT))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         if self.idle_before_hop >= 0 and not self.closing:
--- a/ternquay/net/value_stream.py
+++ b/ternquay/net/value_stream.py
@@ -57,6 +57,7 @@
         self.counted = True  # in the budget
         budget.open_streams += 1
         self.on_data: Callable[[], None] = no_receiver
+        self.on_progress: Callable[[], None] = no_receiver  # tells the source that bytes were taken, also few
         self.chunks: deque[bytes] = deque()
         self.buffered = 0
         self.received = 0  # bytes that have arrived
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -18,12 +18,13 @@
 from ternquay.balance import MS, SECOND, Balancer
 from ternquay.facts import NameTable, parse_deployment
 from ternquay.net.dispatcher import Dispatcher
-from ternquay.net.driver import TCP_INFO_LAST_DATA
+from ternquay.net.driver import TCP_INFO_ACKNOWLEDGED, TCP_INFO_LAST_DATA, TCP_INFO_SEGMENTS, TCP_INFO_WINDOW
 from ternquay.net.frontend import Frontend
 from ternquay.net.limits import derive_limits
 from ternquay.net.listing import parse_list
 from ternquay.net.loop_timing import LoopTiming
 from ternquay.net.pool import Pool
+from ternquay.net.send_progress import SendState
 from ternquay.net.sockets import Sockets
 
 IDEMPOTENT = m.Profile(m.Semantics.IDEMPOTENT, m.DedupScope.ALL, 0, 600 * MS, 1500 * MS, 0.0)
@@ -213,6 +214,8 @@
         self.unread: bytes | None = None  # b"": the peer closed its side
         self.silent_ms = 0  # since data last arrived, as the kernel reports it
         self.bytes_taken = 0  # accepted by the kernel
+        self.sent: SendState | None = None  # what the kernel reports of bytes that it has sent; None: nothing
+        self.segments_out = 0  # sent and not acknowledged
         self.stuck = False  # the kernel accepts nothing
         protocol.makeConnection(self)
 
@@ -220,7 +223,14 @@
         pass
 
     def getsockopt(self, level: int, name: int, size: int) -> bytes:
-        return TCP_INFO_LAST_DATA.pack(self.silent_ms)
+        if self.sent is None:
+            return TCP_INFO_LAST_DATA.pack(self.silent_ms)
+        info = bytearray(TCP_INFO_WINDOW.pack(self.sent.window))
+        # Each of them clears what is before it.
+        TCP_INFO_ACKNOWLEDGED.pack_into(info, 0, self.sent.acknowledged)
+        TCP_INFO_LAST_DATA.pack_into(info, 0, self.silent_ms)
+        TCP_INFO_SEGMENTS.pack_into(info, 0, self.sent.segment, self.segments_out)
+        return bytes(info)
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         self.producer = producer
