--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -497,7 +497,9 @@
         """Passes a transaction to the dispatcher. `unread`: the longest time that the command waited to be read."""
         dispatcher = self.frontend.dispatcher
         ttl = max(0, command.ttl_ms * MS - unread)
-        pending_answer.due = dispatcher.now() + min(ttl, dispatcher.hard_limit(command.profile))
+        time_limits = dispatcher.time_limits(command.profile)
+        pending_answer.due = dispatcher.now() + min(ttl, time_limits.hard_limit)
+        pending_answer.early_until = dispatcher.now() - unread + time_limits.service_goal // 2
         if command.is_write and not command.has_idempotency_key and dispatcher.needs_idempotency_key(command.profile):
             pending_answer.set_answer(b"CLIENT_ERROR a keyed write without its key\r\n")
             return
@@ -571,11 +573,8 @@
 
         Returns whether the answer is ready to be written further, which it also is if the value broke off meanwhile.
         """
-        state = HoldState.PASS_ON
-        if stream.aborted:
-            state = HoldState.FAIL
-        elif pending_answer.hold is not None or (self.may_get_more_requests() and stream.keep_whole()):
-            state = pending_answer.hold_value(stream)
+        needed = self.may_get_more_requests()
+        state = HoldState.FAIL if stream.aborted else pending_answer.hold_state(stream, needed)
         if state is HoldState.FAIL:
             pending_answer.fail_value()
         elif state is HoldState.PASS_ON:
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from loguru import logger
 
@@ -72,6 +72,13 @@
         ...
 
 
+class TimeLimits(NamedTuple):
+    """The time limits of a profile, in nanoseconds."""
+
+    service_goal: int
+    hard_limit: int
+
+
 @dataclass(slots=True, frozen=True)
 class IncomingTx:
     """A transaction as a frontend submits it. Times are integer nanoseconds."""
@@ -260,10 +267,12 @@
         index = self.names.profiles.get(profile)
         return index is not None and self.config.profiles[index].semantics is m.Semantics.IDEMPOTENT
 
-    def hard_limit(self, profile: str) -> int:
-        """Returns the time limit of a transaction of this profile in nanoseconds, 0 if there is no such profile."""
+    def time_limits(self, profile: str) -> TimeLimits:
+        """Returns the time limits of a transaction of this profile, 0 if there is no such profile."""
         index = self.names.profiles.get(profile)
-        return 0 if index is None else self.config.profiles[index].hard_limit
+        if index is None:
+            return TimeLimits(0, 0)
+        return TimeLimits(self.config.profiles[index].service_goal, self.config.profiles[index].hard_limit)
 
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
         """Accepts a transaction and returns its id, or UNKNOWN_PROFILE or KNOWN_REQUEST_ID.
--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -25,6 +25,7 @@
         "value_begun",
         "hold",
         "due",
+        "early_until",
         "committed_at",
         "answer",
         "tx",
@@ -36,7 +37,8 @@
         self.stream: ValueStream | None = None  # a large value of the answer, as it arrives
         self.value_begun = False  # its first line was written
         self.hold: ValueHold | None = None  # while the value is kept until it is whole
-        self.due = self.committed_at = 0  # when its client stops waiting; when the value began to arrive
+        self.due = self.early_until = 0  # when its client stops waiting; until when an answer is early
+        self.committed_at = 0  # when the value began to arrive
         self.tx = -1
         self.counted_open = False  # a subclass counts it as an open transaction of its client
 
@@ -63,14 +65,24 @@
         """Whether a large value is being passed on whose last byte has not arrived."""
         return self.value_begun and self.stream is not None and not self.stream.complete
 
-    def hold_value(self, stream: ValueStream) -> HoldState:
-        """Returns whether the large value is kept until it is whole, or for how long it may be held back."""
+    def hold_state(self, stream: ValueStream, needed: bool) -> HoldState:
+        """Returns whether the large value is kept until it is whole. `needed`: requests wait behind it."""
         now = self.dispatcher.now()
+        if self.hold is None or (needed and not self.hold.needed):
+            self._start_hold(stream, now, needed)
+        return HoldState.PASS_ON if self.hold is None else self.hold.state(stream, now)
+
+    def _start_hold(self, stream: ValueStream, now: int, needed: bool) -> None:
+        """Starts or extends the hold, if there is time and memory for it."""
+        # The time for which it waited behind other answers does not count.
+        time_left = (self.due if needed else self.early_until) - self.committed_at
+        if time_left <= 0 or not stream.keep_whole(precaution=not needed):
+            return
         if self.hold is None:
-            # The time for which it waited behind other answers does not count.
-            self.hold = begin_hold(stream, now, self.due - self.committed_at)
-            self.dispatcher.call_at(self.hold.until + MS, self.client.flush)  # later than `until`, also when rounded
-        return self.hold.state(stream, now)
+            self.hold = begin_hold(stream, now, time_left, needed)
+        else:
+            self.hold.extend(time_left)
+        self.dispatcher.call_at(self.hold.until + MS, self.client.flush)  # later than `until`, also when rounded
 
     def fail_value(self) -> None:
         """Answers with an error in place of a large value of which nothing was passed on."""
--- a/ternquay/net/value_hold.py
+++ b/ternquay/net/value_hold.py
@@ -1,9 +1,10 @@
-"""When the first byte of a large value may be passed on to a client that has sent further requests.
+"""When the first byte of a large value may be passed on to its client.
 
 A value that breaks off after its first byte can only be ended together with the connection, and with it the answers to
 all requests behind it. So a value is kept until it is whole if a request waits behind it, or may come: if it breaks off
 then, its request alone fails. It is kept only as long as its client waits for a first byte, and for less than the time
-after which holding back what a cache host sends counts as a loss.
+after which holding back what a cache host sends counts as a loss. A value without a request behind it is kept only
+within half of its service goal, as the client may send one at any time.
 
 The module does no I/O; times are integer nanoseconds on the caller's monotonic clock.
 """
@@ -31,9 +32,15 @@
 class ValueHold:
     """The hold of one value, from the time at which it was the first answer to be written."""
 
+    began_at: int
     until: int
-    moved_at: int
+    moved_at: int  # when the latest part of the value arrived
     received: int
+    needed: bool  # requests wait behind the value
+
+    def extend(self, time_left: int) -> None:
+        """Keeps the value for longer, as a request has come behind it. `time_left`: since the hold began."""
+        self.until, self.needed = max(self.until, self.began_at + hold_time(time_left)), True
 
     def state(self, stream: ValueStream, now: int) -> HoldState:
         """Returns what is to be done with the value now."""
@@ -43,10 +50,15 @@
             return HoldState.PASS_ON
         if now < self.until:
             return HoldState.KEEP
-        return HoldState.FAIL if now - self.moved_at >= STOPPED_NS else HoldState.PASS_ON
+        stopped = now - self.moved_at >= STOPPED_NS
+        return HoldState.FAIL if self.needed and stopped else HoldState.PASS_ON
+
+
+def begin_hold(stream: ValueStream, now: int, time_left: int, needed: bool) -> ValueHold:
+    """Returns the hold of a value that may be written now. `time_left`: how long its first byte may take."""
+    return ValueHold(now, now + hold_time(time_left), now, stream.received, needed)
 
 
-def begin_hold(stream: ValueStream, now: int, time_left: int) -> ValueHold:
-    """Returns the hold of a value that may be written now. `time_left`: how long its client waits for a first byte."""
-    hold_time = max(0, min(MAX_HOLD_NS, time_left - FIRST_BYTE_MARGIN_NS))
-    return ValueHold(now + hold_time, now, stream.received)
+def hold_time(time_left: int) -> int:
+    """Returns for how long a value may be kept whose first byte may take so long."""
+    return max(0, min(MAX_HOLD_NS, time_left - FIRST_BYTE_MARGIN_NS))
--- a/ternquay/net/value_stream.py
+++ b/ternquay/net/value_stream.py
@@ -11,7 +11,9 @@
 
 PIECES_PER_STREAM = 4  # one and a read in the stream, and as much in the transport that writes it
 MIN_PIECE_BYTES = 2048
-KEPT_FRACTION = 2  # values that are kept whole take at most this fraction of the budget: a half
+# Values that are kept whole take at most this part of the budget: a half, or a quarter where nothing waits behind them.
+KEPT_FRACTION = 2
+PRECAUTION_FRACTION = 4
 
 
 def no_receiver() -> None:
@@ -35,9 +37,9 @@
         """Returns the memory that the open streams may take at most."""
         return self.kept_bytes + self.open_streams * PIECES_PER_STREAM * self.piece_bytes()
 
-    def reserve(self, size: int) -> bool:
+    def reserve(self, size: int, precaution: bool = False) -> bool:
         """Reserves memory to keep a value whole. Returns whether there is enough."""
-        if self.kept_bytes + size > self.total_bytes // KEPT_FRACTION:
+        if self.kept_bytes + size > self.total_bytes // (PRECAUTION_FRACTION if precaution else KEPT_FRACTION):
             return False
         self.kept_bytes += size
         return True
@@ -97,9 +99,12 @@
 
     # ---- called by the receiver ----
 
-    def keep_whole(self) -> bool:
-        """Buffers the whole value from now on. Returns whether there is memory for it."""
-        if not self.kept_bytes and not self.aborted and self.budget.reserve(self.length):
+    def keep_whole(self, precaution: bool = False) -> bool:
+        """Buffers the whole value from now on. Returns whether there is memory for it.
+
+        `precaution`: nothing depends on it yet.
+        """
+        if not self.kept_bytes and not self.aborted and self.budget.reserve(self.length, precaution):
             self.kept_bytes = self.length
             self._resume()
         return self.kept_bytes > 0
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -17,7 +17,7 @@
 from ternquay.net.value_stream import StreamBudget, ValueStream
 from tests.fault_harness import BalancerProcess, CacheHost, Client, Command, HostedProcess, read, whole_answer, write
 from tests.helper import Net, Wire
-from tests.test_flow import SMALL, written
+from tests.test_flow import LATE_MS, SMALL, written
 from tests.test_hosted_endings import HostedNet
 from tests.test_net import mg, ms, va
 
@@ -115,6 +115,47 @@
     assert lines[0] == b"HD O1 cdone" and lines[1].startswith(b"SERVER_ERROR busy") and not client.lost
 
 
+# Guards against: a request that comes while the value before it is on its way is lost with that value.
+def test_a_request_that_comes_behind_a_value_on_its_way_gets_its_answer_if_the_value_breaks_off() -> None:
+    net = Net(limits=SMALL)
+    client = net.client()
+    client.feed(mg(1))
+    value = net.accept()
+    value.feed(b"VA 30 O1\r\n0123456789")
+    net.run(20)
+    client.feed(ms(2))
+    other = net.accept()
+    net.run(300)  # the value would be passed on by now if nothing were behind it
+    value.end()
+    other.feed(b"HD O2 cdone\r\n")
+    lines = first_lines(net)
+    assert lines[0].startswith(b"SERVER_ERROR busy") and lines[1:] == [b"HD O2 cdone"] and not client.lost, net.trace
+
+
+def test_a_value_with_nothing_behind_it_is_passed_on_within_half_of_its_service_goal() -> None:
+    net = Net(limits=SMALL)
+    client = net.client()
+    client.feed(mg(1))
+    value = net.accept()
+    value.feed(b"VA 30 O1\r\n0123456789")
+    net.run(150)
+    assert not first_lines(net) and not value.paused
+    net.run(100)
+    assert first_lines(net) == [b"VA 30 O1", b"0123456789"] and not client.lost
+    value.feed(b"0123456789" * 2 + b"\r\n")
+    assert written(net, "client 0") == b"VA 30 O1\r\n" + b"0123456789" * 3 + b"\r\n"
+    assert not net.dispatcher.streams.kept_bytes
+
+
+def test_a_value_with_nothing_behind_it_is_kept_only_in_a_part_of_the_memory() -> None:
+    net = Net(limits=SMALL | {"buffered_bytes": 100, "value_bytes": 100})
+    client = net.client()
+    client.feed(mg(1))
+    value = net.accept()
+    value.feed(b"VA 30 O1\r\n0123456789")
+    assert first_lines(net) == [b"VA 30 O1", b"0123456789"] and not client.lost
+
+
 # ---- requests that come behind a value of which a part was passed on ----
 
 
@@ -124,6 +165,7 @@
     client = net.client()
     client.feed(mg(1))
     value = net.accept()
+    net.run(LATE_MS)
     value.feed(b"VA 30 O1\r\n0123456789")
     client.feed(ms(2) + b"mn\r\n" + ms(3))
     net.run(50)
@@ -141,6 +183,7 @@
     client = net.client()
     client.feed(mg(1))
     value = net.accept()
+    net.run(LATE_MS)
     value.feed(b"VA 30 O1\r\n0123456789")
     client.feed(ms(2))
     value.end()
@@ -172,6 +215,7 @@
     client = net.client()
     client.feed(mg(1))
     value = net.accept()
+    net.run(LATE_MS)
     value.feed(b"VA 30 O1\r\n0123456789")
     client.feed(mg(2, key="k" * 12) + mg(3, key="k" * 12) + b"ms k 20 O4 Pc=once,d=800\r\n" + b"x" * 20 + b"\r\n")
     value.feed(b"0123456789" * 2 + b"\r\n")
@@ -240,7 +284,7 @@
 def test_a_value_is_held_until_it_is_whole_and_no_longer_than_its_client_waits() -> None:
     def hold(time_left: int) -> tuple[ValueStream, Callable[[int], HoldState]]:
         stream = ValueStream(10, StreamBudget(100, 10), lambda paused: None)
-        held = begin_hold(stream, 0, time_left)
+        held = begin_hold(stream, 0, time_left, needed=True)
         return stream, lambda now: held.state(stream, now)
 
     stream, state = hold(9 * MAX_HOLD_NS)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -20,6 +20,9 @@
 SMALL = {"stream_above_bytes": 8, "chunk_bytes": 4, "value_bytes": 100, "answer_bytes": 100}
 
 
+LATE_MS = 300  # past half of the service goal: a value that begins to arrive then is passed on at once
+
+
 def put(number: int, value: bytes, profile: str = "once") -> bytes:
     return b"ms k %d O%d Pc=%s,d=800,k=77\r\n%b\r\n" % (len(value), number, profile.encode(), value)
 
@@ -104,6 +107,7 @@
     client = net.client()
     client.feed(mg(1))
     first = net.accept()
+    net.run(LATE_MS)
     first.feed(b"VA 30 O1 h1\r\n")
     assert written(net, "client 0") == b"VA 30 O1\r\n"
     first.feed(b"0123456789")
@@ -126,6 +130,7 @@
     client = net.client()
     client.feed(mg(1))
     host, take = net.accept(), client.take
+    net.run(LATE_MS)
     client.take = lambda: None  # type: ignore[method-assign]
     host.feed(b"VA 80 O1\r\n")
     sent = 0
@@ -148,6 +153,7 @@
     client = net.client()
     client.feed(mg(1))
     host = net.accept()
+    net.run(LATE_MS)
     host.feed(b"VA 30 O1\r\n0123456789")
     if how == "breaks":
         host.end()
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -15,7 +15,7 @@
 from ternquay.net.send_progress import PATIENT, SHORT, SendProgress, SendState
 from tests.fault_harness import BalancerProcess, CacheHost, HostedProcess, read, value_answer
 from tests.helper import Net, Wire
-from tests.test_flow import SMALL, written
+from tests.test_flow import LATE_MS, SMALL, written
 from tests.test_net import mg, va
 
 KIB = 1 << 10
@@ -27,6 +27,7 @@
     client.sent = SendState(0, 0, 64 * KIB, 1448)
     client.feed(mg(1))
     host = net.accept()
+    net.run(LATE_MS)
     client.stuck = True
     host.feed(b"VA %d O1\r\n" % value_bytes + b"0123456789")
     return client, host
@@ -133,6 +134,7 @@
     client = net.client()
     client.feed(mg(1))
     host = net.accept()
+    net.run(LATE_MS)
     host.feed(b"VA 10 O1\r\n")
     client.stuck = True
     host.feed(b"01234")
