--- a/tests/fault_harness.py
+++ b/tests/fault_harness.py
@@ -194,7 +194,7 @@
                 self.attempts.append(attempt)
                 size = int(words[2]) if words[0] == b"ms" else -1
                 if size >= 0:
-                    await self._read_value(reader, size + 2)
+                    await self.read_value(reader, size + 2, words[1].decode())
                 attempt.taken_at = time.monotonic()
                 command = Command(words[0], words[1].strip().decode(), request_id, params, size)
                 await self.answer(command, writer)
@@ -209,7 +209,8 @@
             with suppress(Exception):
                 writer.close()
 
-    async def _read_value(self, reader: asyncio.StreamReader, left: int) -> None:
+    async def read_value(self, reader: asyncio.StreamReader, left: int, key: str) -> None:
+        """Reads the value of a write to this key."""
         while left:
             data = await reader.read(min(left, 4096 if self.read_bytes_per_s else left))
             if not data:
