Each large request has a check of its own for the time that its value is held back

Callers saw the final answer of a large request 5.0 s late where its server read it slowly.

Cause: ClientConnection keeps one delayed call for the value that is held back. The call of a large request that had arrived stayed, so that the next one on the connection got none while it was active (_watch_value); it then found another request and ended (_check_value). The timer for values that stand still answered 5 s later. The class: a timer that outlives what it is for.

Change: the call ends with its value, whether that arrived or is discarded (_end_value).

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -320,7 +320,7 @@
         """The last byte of a large value arrived."""
         pending_answer, stream = self.streaming, self.incoming
         if pending_answer is None or stream is None:
-            self.streaming = self.incoming = None
+            self._end_value()
             return
         now = self.frontend.dispatcher.now()
         unread = self.frontend.loop_timing.max_unread_time(now, self.first_byte_since())
@@ -328,18 +328,24 @@
             unread = max(unread, now - self.backlog.since)
         if unread >= pending_answer.command.ttl_ms * MS:
             pending_answer.dispatcher.value_overdue(pending_answer.tx)
-        self.streaming = self.incoming = None
-        self.read_at_once(self.frontend.limits.read_bytes)
+        self._end_value()
         pending_answer.dispatcher.tx_fully_received(pending_answer.tx, unread)
         stream.finish()
 
     def discard_value(self) -> None:
         """Discards the rest of a large value as it arrives, because its transaction is already answered."""
-        stream, self.streaming, self.incoming = self.incoming, None, None
-        self.read_at_once(self.frontend.limits.read_bytes)
+        stream = self.incoming
+        self._end_value()
         if stream is not None:
             stream.discard()
 
+    def _end_value(self) -> None:
+        """Forgets the large value that was arriving, and its check: the next one gets a check of its own."""
+        self.streaming = self.incoming = None
+        cancel_call(self.value_call)
+        self.value_call = None
+        self.read_at_once(self.frontend.limits.read_bytes)
+
     def count_buffered(self) -> None:
         """Updates the count of buffered bytes and enforces the shared limit on them."""
         self.frontend.incomplete_requests.record_progress(self, len(self.parser.buffer))
