A planned end answers what is unread behind large requests and values before the exit

Cause: a large request that is held back keeps its connection unread. It was refused with the last answers, 20 ms before the exit, and the exit (60 ms more) looked at answers that are known, not at bytes that are unread; at 64 MB 4 MB are not read within that time. The exit after a large value did not wait for what came behind it.

Change: what has not arrived whole as the process begins to close connections is refused then (Dispatcher.answer_all_by). The exit waits for unread bytes too, still for 60 ms at most, and its time begins anew with the end of the last large value; one function for both programs (after_answers_sent), which had it twice.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -38,7 +38,7 @@
 from ternquay.net.closing import after_answers_sent
 from ternquay.net.limits import MS, SECOND
 from ternquay.net.loop_timing import LoopTiming
-from ternquay.net.serve import VALUE_CHECK_SECONDS, MonotonicReactor
+from ternquay.net.serve import MonotonicReactor
 
 SWEEP_INTERVAL_NS = 250 * MS
 REMOVE_RETRY_SECONDS = 1.0
@@ -277,7 +277,7 @@
         accept_grace = leave_after = stop_after = flush_timeout = 0
         for runtime in self.runtimes.values():
             limits = runtime.limits
-            runtime.dispatcher.answer_all_by(now + limits.last_answer_after)
+            runtime.dispatcher.answer_all_by(now + limits.last_answer_after, now + limits.leave_after)
             accept_grace, stop_after = max(accept_grace, limits.accept_grace), max(stop_after, limits.stop_after)
             leave_after, flush_timeout = (
                 max(leave_after, limits.leave_after),
@@ -309,17 +309,13 @@
     def _stop(self) -> None:
         if not self.stopping:
             self.stopping = True
-            after_answers_sent(self.reactor, self._owes_answers, self.flush_timeout, self._stop_after_values)
+            after_answers_sent(self.reactor, self._owes_answers, self._writes_values, self.flush_timeout, self._stopped)
 
-    def _stop_after_values(self) -> None:
-        """Stops when no large value is under way. One that stands still ends by the stall timeouts."""
-        if any(runtime.frontend.writes_values() for runtime in self.runtimes.values()):
-            self.reactor.callLater(VALUE_CHECK_SECONDS, self._stop_after_values)
-        else:
-            self._stopped()
+    def _writes_values(self) -> bool:
+        return any(runtime.frontend.writes_values() for runtime in self.runtimes.values())
 
     def _owes_answers(self) -> bool:
-        return any(runtime.frontend.has_unsent_answers() for runtime in self.runtimes.values())
+        return any(runtime.frontend.owes_answers() for runtime in self.runtimes.values())
 
     def _stopped(self) -> None:
         if self.reactor.running:
--- a/ternquay/net/closing.py
+++ b/ternquay/net/closing.py
@@ -9,6 +9,7 @@
 from ternquay.net.sockets import Sockets
 
 POLL_INTERVAL_SECONDS = 0.002
+VALUE_CHECK_SECONDS = 0.05  # between two checks whether large values are still under way
 ACCEPT_INTERVAL_SECONDS = 0.01  # between two attempts to accept those that wait
 
 
@@ -94,15 +95,27 @@
             port.close()
 
 
-def after_answers_sent(reactor: Any, has_unsent: Callable[[], bool], timeout: int, then: Callable[[], None]) -> None:
-    """Calls `then` once no answers are unsent, or after `timeout` nanoseconds.
+def after_answers_sent(
+    reactor: Any,
+    owes_answers: Callable[[], bool],
+    writes_values: Callable[[], bool],
+    timeout: int,
+    then: Callable[[], None],
+) -> None:
+    """Calls `then` once no large value is under way and no answer is owed or unsent, or after `timeout` nanoseconds.
 
-    Answers given in the current loop iteration are written in the next one.
+    The time counts from the end of the last large value, as requests may wait behind one. A value that stands still
+    ends by the stall timeouts. Answers given in the current loop iteration are written in the next one.
     """
     until = reactor.seconds() + timeout / SECOND
 
     def check() -> None:
-        if has_unsent() and reactor.seconds() < until:
+        nonlocal until
+        now = reactor.seconds()
+        if writes_values():
+            until = now + VALUE_CHECK_SECONDS + timeout / SECOND
+            reactor.callLater(VALUE_CHECK_SECONDS, check)
+        elif owes_answers() and now < until:
             reactor.callLater(POLL_INTERVAL_SECONDS, check)
         else:
             then()
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -355,11 +355,19 @@
         for hop in [hop for hop in tx.hops if not hop.ended]:
             self._give_up_hop(hop, m.HopOutcome.CANCELLED)
 
-    def answer_all_by(self, deadline: int) -> None:
-        """At a planned shutdown: no transaction is open after the deadline, whatever time its client has left."""
+    def answer_all_by(self, deadline: int, values_by: int) -> None:
+        """At a planned shutdown: no transaction is open after the deadline, whatever time its client has left.
+
+        One whose value has not arrived by `values_by` is refused then, which leaves time for what is unread behind it.
+        """
         self.answer_deadline = deadline
+        self.call_at(values_by, self._refuse_arriving_values)
         self.call_at(deadline, self._answer_open_txs)
 
+    def _refuse_arriving_values(self) -> None:
+        for tx in [tx for tx in self.open_txs.values() if not tx.fully_received]:
+            self.value_overdue(tx.id)
+
     def _answer_open_txs(self) -> None:
         """Answers all open transactions: a retry is promised to be harmless only if no hop may have run."""
         for tx in [tx for tx in self.open_txs.values() if not tx.answered]:
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -143,9 +143,9 @@
             if dues:
                 self._schedule_deadline_check(max(min(dues), now + MIN_DEADLINE_CHECK_NS))
 
-    def has_unsent_answers(self) -> bool:
-        """Whether a client waits for an answer or for queued bytes of one."""
-        return any(client.pending or client.queued_bytes for client in self.clients)
+    def owes_answers(self) -> bool:
+        """Whether a client waits for an answer, for queued bytes of one, or for what it wrote to be read."""
+        return any(client.pending or client.queued_bytes or client.has_unread_bytes() for client in self.clients)
 
     def is_short(self) -> bool:
         """Whether clients that read slowly cost others something: a place, memory, or the end of this process."""
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -35,7 +35,6 @@
 from ternquay.net.start_times import StartTimes
 from ternquay.net.transports import BackoffConnector
 
-VALUE_CHECK_SECONDS = 0.05  # between two checks whether large values are still under way
 FIRST_TURN_SECONDS = 0.001  # the loop has run once after this
 # An address that is in use or not available is an error of the configuration; any other error may be transient.
 PERMANENT_LISTEN_ERRORS = frozenset({EADDRINUSE, EADDRNOTAVAIL, EACCES, EAFNOSUPPORT})
@@ -283,7 +282,8 @@
             self._stop_accepting()
             self.frontend.leave(self.limits.new_client_grace)
             self._wait_for_clients()
-        self.dispatcher.answer_all_by(self.dispatcher.now() + self.limits.last_answer_after)
+        now = self.dispatcher.now()
+        self.dispatcher.answer_all_by(now + self.limits.last_answer_after, now + self.limits.leave_after)
         self.reactor.callLater(self.limits.accept_grace / SECOND, self._stop_accepting)
         self.reactor.callLater(self.limits.leave_after / SECOND, self._close_clients)
         self.reactor.callLater(self.limits.stop_after / SECOND, self._flush_and_exit)
@@ -314,16 +314,13 @@
         if not self.stopping:
             self.stopping = True
             after_answers_sent(
-                self.reactor, self.frontend.has_unsent_answers, self.limits.flush_timeout, self._exit_after_values
+                self.reactor,
+                self.frontend.owes_answers,
+                self.frontend.writes_values,
+                self.limits.flush_timeout,
+                self._exit,
             )
 
-    def _exit_after_values(self) -> None:
-        """Exits when no large value is under way. One that stands still ends by the stall timeouts."""
-        if self.frontend.writes_values():
-            self.reactor.callLater(VALUE_CHECK_SECONDS, self._exit_after_values)
-        else:
-            self._exit()
-
     def _exit(self) -> None:
         if self.reactor.running:
             self.discovery.stop()
