Failing test: a value whose cache host pauses for over 5 s is cut off

Callers saw a long answer end short 5.0 to 5.3 s after its cache host paused, though it went on 0.4 to 1.8 s later, and what came behind it ended without an answer.

--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -31,3 +31,14 @@
 def test_what_came_behind_a_value_is_answered_before_the_process_exits(hosted: bool) -> None:
     transfers = [Transfer(Half.ANSWER, Position.LATER, 200_000, 1200, 4500, 0.5, 0)] * 4
     assert asyncio.run(play(Stage(hosted, event=Event.TERM, kill_after_s=12), transfers)) == []
+
+
+# Guards against: a value is cut off, and what came behind it is lost, as its cache host pauses for over 5 s.
+def test_a_value_whose_host_pauses_for_over_5_s_is_passed_on_whole() -> None:
+    transfers = [
+        Transfer(Half.ANSWER, position, 200_000, 600, pause_ms, pause_at, 200_000)
+        for position in (Position.ALONE, Position.BEFORE, Position.LATER)
+        for pause_ms, pause_at in ((5600, 0.0), (7000, 0.5))
+    ]
+    for hosted in (False, True):
+        assert asyncio.run(play(Stage(hosted), transfers)) == []
