A value that stands still is given up after 60 s, and 10 s while something is short

Callers saw a long answer end short 5 s after its cache host paused, and lost what came behind it.

Cause: HostConnection.receive_stalled took a cache host that sends nothing for 5 s (stall_timeout) for one that is gone. The class: a timer that takes silence for an end.

Change: the limits of clients that read slowly hold here too (net/send_progress.py): 60 s, and 10 s while places or memory are short or the process drains or ends. A value that nobody waits for keeps 5 s.

--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -322,6 +322,7 @@
             self.id,
             self.client_limiter,
         )
+        self.pool.is_short = self.frontend.is_short
         self.frontend.max_open_txs = tenant.limits.open_txs
         self.frontend.set_accepting = self._set_accepting
         self.frontend.fence_delay = (
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -148,8 +148,8 @@
         return any(client.pending or client.queued_bytes or client.has_unread_bytes() for client in self.clients)
 
     def is_short(self) -> bool:
-        """Whether clients that read slowly cost others something: a place, memory, or the end of this process."""
-        return self.accepting_paused or self.leaving or self.answers_exceeded()
+        """Whether what stands still costs others something: a place, memory, or the end of this process."""
+        return self.accepting_paused or self.leaving or self.answers_exceeded() or self.dispatcher.streams.is_short()
 
     def writes_values(self) -> bool:
         """Whether a large value is being written to a client."""
--- a/ternquay/net/host_connection.py
+++ b/ternquay/net/host_connection.py
@@ -19,7 +19,7 @@
 from ternquay.net.limits import MS
 from ternquay.net.meta import Answer, ResponseParser, ValueChunk, ValueHeader
 from ternquay.net.safety import ServerCloseReason
-from ternquay.net.send_progress import SHORT, SendProgress
+from ternquay.net.send_progress import PATIENT, SHORT, SendProgress
 from ternquay.net.value_stream import ValueStream, no_receiver
 
 if TYPE_CHECKING:
@@ -226,13 +226,18 @@
             self.hold_reading(paused)
 
     def receive_stalled(self) -> bool:
-        """Returns whether a large value stopped arriving although reading is not paused."""
+        """Returns whether a large value stopped arriving although reading is not paused.
+
+        A cache host that vanished says nothing, and one that pauses goes on, so it gets as long as a slow client does.
+        """
         flow = self.incoming
-        return (
-            flow is not None
-            and not flow.paused
-            and (self.pool.dispatcher.now() - self.incoming_moved_at > self.pool.limits.stall_timeout)
-        )
+        if flow is None or flow.paused:
+            return False
+        if flow.aborted:  # nobody waits for it
+            time_limit = self.pool.limits.stall_timeout
+        else:
+            time_limit = (SHORT if self.pool.is_short() else PATIENT).max_quiet
+        return self.pool.dispatcher.now() - self.incoming_moved_at > time_limit
 
     def send_stalled(self) -> bool:
         """Returns whether the cache host stopped reading a large value, whose client is paused meanwhile."""
--- a/ternquay/net/pool.py
+++ b/ternquay/net/pool.py
@@ -1,5 +1,6 @@
 """The pool of connections to cache hosts: one hop on each while sockets are available, else several in order."""
 
+from collections.abc import Callable
 from typing import Any
 
 from ternquay import model as m
@@ -37,6 +38,7 @@
         self.hosts: dict[int, HostConnections] = {}
         self.incomplete_responses: SharedBudget[HostConnection] = SharedBudget()
         self.idle_loss = IdleLoss(limits)
+        self.is_short: Callable[[], bool] = lambda: False  # whether what stands still costs others something
         sockets.close_idle_host = self.close_idlest
 
     # ---- calls of the dispatcher ----
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -85,6 +85,7 @@
         self.loop_timing = LoopTiming(self.limits.turn_duration)
         self.dispatcher.process_stalled = self.loop_timing.process_stalled
         self.frontend = Frontend(reactor, self.dispatcher, self.limits, sockets, self.loop_timing)
+        self.pool.is_short = self.frontend.is_short
         self.discovery = self._create_discovery(config.discovery)
         self.port: Any = None
         self.closing_listeners = ClosingListeners(reactor, sockets, self.frontend.close_longest_idle)
--- a/ternquay/net/value_stream.py
+++ b/ternquay/net/value_stream.py
@@ -33,6 +33,10 @@
         part = (self.total_bytes - self.kept_bytes) // (PIECES_PER_STREAM * max(1, self.open_streams))
         return min(self.max_piece_bytes, max(MIN_PIECE_BYTES, part))
 
+    def is_short(self) -> bool:
+        """Whether there are so many streams that each gets the least there is."""
+        return self.piece_bytes() <= MIN_PIECE_BYTES < self.max_piece_bytes
+
     def reserved_bytes(self) -> int:
         """Returns the memory that the open streams may take at most."""
         return self.kept_bytes + self.open_streams * PIECES_PER_STREAM * self.piece_bytes()
