Failing test: a value that is kept whole is refused as its cache host pauses

Callers were sent SERVER_ERROR busy 50 ms before the end of their time, or after 1.5 s, while the cache host paused for over 0.5 s within a value over 64 KiB, and it found its connection closed as it wrote on.

--- a/tests/test_slow_transfers.py
+++ b/tests/test_slow_transfers.py
@@ -42,3 +42,16 @@
     ]
     for hosted in (False, True):
         assert asyncio.run(play(Stage(hosted), transfers)) == []
+
+
+# Guards against: a value that is kept for the requests around it is refused at the end of its client's time, as its
+# cache host pauses just then.
+def test_a_value_whose_host_pauses_as_its_hold_ends_is_passed_on_whole() -> None:
+    pauses = ((600, 700, 0.5), (600, 1400, 0.0), (1200, 2300, 0.9), (4500, 1700, 0.5), (4500, 4500, 0.3))
+    transfers = [
+        Transfer(Half.ANSWER, position, 200_000, wait_ms, pause_ms, pause_at, 200_000)
+        for position in (Position.AFTER_PIPELINE, Position.BEFORE, Position.BEHIND)
+        for wait_ms, pause_ms, pause_at in pauses
+    ]
+    for hosted in (False, True):
+        assert asyncio.run(play(Stage(hosted), transfers)) == []
