A value that is kept whole is passed on at the end of its hold, also while its host pauses

Cause: ValueHold.state failed a value whose cache host had sent nothing for 0.5 s as the hold ended (STOPPED_NS), and PendingAnswer.fail_value closed the host's connection. It needed no request behind it; a client that had pipelined once was enough.

Change: only a value that broke off fails. At the end of its hold a value is passed on.

Two new ones on the simulated clock ask for the value and for what is behind it. The state at the end of a hold in the test of the parts is now PASS_ON.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -580,8 +580,7 @@
 
         Returns whether the answer is ready to be written further, which it also is if the value broke off meanwhile.
         """
-        needed = self.may_get_more_requests()
-        state = HoldState.FAIL if stream.aborted else pending_answer.hold_state(stream, needed)
+        state = pending_answer.hold_state(stream, self.may_get_more_requests())
         if state is HoldState.FAIL:
             pending_answer.fail_value()
         elif state is HoldState.PASS_ON:
--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -67,6 +67,8 @@
 
     def hold_state(self, stream: ValueStream, needed: bool) -> HoldState:
         """Returns whether the large value is kept until it is whole. `needed`: requests wait behind it."""
+        if stream.aborted:
+            return HoldState.FAIL
         now = self.dispatcher.now()
         if self.hold is None or (needed and not self.hold.needed):
             self._start_hold(stream, now, needed)
@@ -79,7 +81,7 @@
         if time_left <= 0 or not stream.keep_whole(precaution=not needed):
             return
         if self.hold is None:
-            self.hold = begin_hold(stream, now, time_left, needed)
+            self.hold = begin_hold(now, time_left, needed)
         else:
             self.hold.extend(time_left)
         self.dispatcher.call_at(self.hold.until + MS, self.client.flush)  # later than `until`, also when rounded
--- a/ternquay/net/value_hold.py
+++ b/ternquay/net/value_hold.py
@@ -3,8 +3,10 @@
 A value that breaks off after its first byte can only be ended together with the connection, and with it the answers to
 all requests behind it. So a value is kept until it is whole if a request waits behind it, or may come: if it breaks off
 then, its request alone fails. It is kept only as long as its client waits for a first byte, and for less than the time
-after which holding back what a cache host sends counts as a loss. A value without a request behind it is kept only
-within half of its service goal, as the client may send one at any time.
+after which holding back what a cache host sends counts as a loss. Then it is passed on, also where its cache host
+pauses: one that pauses can't be told from one that has stopped, and cutting off a value that goes on counts as a loss.
+A value without a request behind it is kept only within half of its service goal, as the client may send one at any
+time.
 
 The module does no I/O; times are integer nanoseconds on the caller's monotonic clock.
 """
@@ -16,7 +18,6 @@
 
 MS = 1_000_000
 MAX_HOLD_NS = 1500 * MS  # a part of a value that is held back for 2 s counts as lost
-STOPPED_NS = 500 * MS  # a cache host that has sent nothing for this long has stopped
 FIRST_BYTE_MARGIN_NS = 50 * MS  # between the end of a hold and the end of the client's time
 
 
@@ -25,7 +26,7 @@
 
     KEEP = 1
     PASS_ON = 2
-    FAIL = 3  # its time is over and the cache host has stopped sending it
+    FAIL = 3  # it broke off, and nothing of it was passed on
 
 
 @dataclass(slots=True)
@@ -34,8 +35,6 @@
 
     began_at: int
     until: int
-    moved_at: int  # when the latest part of the value arrived
-    received: int
     needed: bool  # requests wait behind the value
 
     def extend(self, time_left: int) -> None:
@@ -44,19 +43,12 @@
 
     def state(self, stream: ValueStream, now: int) -> HoldState:
         """Returns what is to be done with the value now."""
-        if stream.received != self.received:
-            self.received, self.moved_at = stream.received, now
-        if stream.complete:
-            return HoldState.PASS_ON
-        if now < self.until:
-            return HoldState.KEEP
-        stopped = now - self.moved_at >= STOPPED_NS
-        return HoldState.FAIL if self.needed and stopped else HoldState.PASS_ON
+        return HoldState.PASS_ON if stream.complete or now >= self.until else HoldState.KEEP
 
 
-def begin_hold(stream: ValueStream, now: int, time_left: int, needed: bool) -> ValueHold:
+def begin_hold(now: int, time_left: int, needed: bool) -> ValueHold:
     """Returns the hold of a value that may be written now. `time_left`: how long its first byte may take."""
-    return ValueHold(now, now + hold_time(time_left), now, stream.received, needed)
+    return ValueHold(now, now + hold_time(time_left), needed)
 
 
 def hold_time(time_left: int) -> int:
