A process that ends waits for its answers while their clients take them

Callers that read slowly and steadily lost the end of their answers at a planned end: 4.7 of 7.8 MB came of 130 answers of 60 KB read at 500 KB/s, single and hosted.

Cause: after_answers_sent waited for answers up to 64 KiB for 60 ms (flush_timeout), whatever their clients still took. The class: a fixed time in which what is still being sent is dropped.

Change: the exit waits while anything is being written, as it did for large values (Frontend.writes_answers). Clients that take nothing are closed by the stall timeout, 5 s, or up to 10 s where more may be in their buffers. What stands behind values keeps its 60 ms.

--- a/ternquay/hosted/host.py
+++ b/ternquay/hosted/host.py
@@ -309,10 +309,12 @@
     def _stop(self) -> None:
         if not self.stopping:
             self.stopping = True
-            after_answers_sent(self.reactor, self._owes_answers, self._writes_values, self.flush_timeout, self._stopped)
+            after_answers_sent(
+                self.reactor, self._owes_answers, self._writes_answers, self.flush_timeout, self._stopped
+            )
 
-    def _writes_values(self) -> bool:
-        return any(runtime.frontend.writes_values() for runtime in self.runtimes.values())
+    def _writes_answers(self) -> bool:
+        return any(runtime.frontend.writes_answers() for runtime in self.runtimes.values())
 
     def _owes_answers(self) -> bool:
         return any(runtime.frontend.owes_answers() for runtime in self.runtimes.values())
--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -427,7 +427,7 @@
             return waited > MAX_END_NS
         if not self.frontend.clients and not self.dispatcher.open_txs:
             return True
-        return waited > longest + SECOND and not self.frontend.writes_values()
+        return waited > longest + SECOND and not self.frontend.writes_answers()
 
     def remove(self) -> None:
         """Closes everything; the tenant exists no longer."""
--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -54,7 +54,6 @@
         self.queued_bytes = 0  # bytes that the operating system has not accepted yet
         self.unsent_answer_bytes = 0  # of these, without those of large values
         self.known_answer_bytes = 0  # of answers that are known and not written yet
-        self.value_queued = False  # a part of a large value is among the queued bytes
         self.send_progress = SendProgress()  # of the queued bytes
         self.streaming: PendingAnswer | None = None  # the request whose large value is arriving
         self.incoming: ValueStream | None = None  # the large value that is arriving
@@ -608,14 +607,12 @@
         return stream.all_taken()
 
     def writes_value(self) -> bool:
-        """Whether the first pending answer is a large value, or the system has not accepted the rest of one."""
+        """Whether the first pending answer is a large value."""
         first = self.pending[0] if self.pending else None
-        waits = isinstance(first, PendingAnswer) and first.stream is not None and not self.ended
-        return waits or self.value_queued
+        return isinstance(first, PendingAnswer) and first.stream is not None and not self.ended
 
     def write_chunk(self, data: bytes) -> None:
         """Writes a part of a large value, which does not count towards the limits on queued answers."""
-        self.value_queued = True
         self.queued_bytes += len(data)
         self.last_activity = self.frontend.dispatcher.now()
         self.transport.write(data)
@@ -685,7 +682,6 @@
         """Called by the transport when the operating system has accepted all written bytes."""
         if self.queued_bytes:
             self.queued_bytes = self.unsent_answer_bytes = 0
-            self.value_queued = False
             self.send_progress.restart()
             self._count_unsent()
             self.last_activity = self.frontend.dispatcher.now()
--- a/ternquay/net/closing.py
+++ b/ternquay/net/closing.py
@@ -9,7 +9,6 @@
 from ternquay.net.sockets import Sockets
 
 POLL_INTERVAL_SECONDS = 0.002
-VALUE_CHECK_SECONDS = 0.05  # between two checks whether large values are still under way
 ACCEPT_INTERVAL_SECONDS = 0.01  # between two attempts to accept those that wait
 
 
@@ -98,24 +97,23 @@
 def after_answers_sent(
     reactor: Any,
     owes_answers: Callable[[], bool],
-    writes_values: Callable[[], bool],
+    writes_answers: Callable[[], bool],
     timeout: int,
     then: Callable[[], None],
 ) -> None:
-    """Calls `then` once no large value is under way and no answer is owed or unsent, or after `timeout` nanoseconds.
+    """Calls `then` once no answer is being written and none is owed, or `timeout` nanoseconds after the last write.
 
-    The time counts from the end of the last large value, as requests may wait behind one. A value that stands still
-    ends by the stall timeouts. Answers given in the current loop iteration are written in the next one.
+    Clients that take nothing, and large values that stand still, end by the stall timeouts. Answers given in the
+    current loop iteration are written in the next one, and requests may wait behind a large value.
     """
     until = reactor.seconds() + timeout / SECOND
 
     def check() -> None:
         nonlocal until
         now = reactor.seconds()
-        if writes_values():
-            until = now + VALUE_CHECK_SECONDS + timeout / SECOND
-            reactor.callLater(VALUE_CHECK_SECONDS, check)
-        elif owes_answers() and now < until:
+        if writes_answers():
+            until = now + timeout / SECOND
+        if now < until and (writes_answers() or owes_answers()):
             reactor.callLater(POLL_INTERVAL_SECONDS, check)
         else:
             then()
--- a/ternquay/net/frontend.py
+++ b/ternquay/net/frontend.py
@@ -151,9 +151,9 @@
         """Whether what stands still costs others something: a place, memory, or the end of this process."""
         return self.accepting_paused or self.leaving or self.answers_exceeded() or self.dispatcher.streams.is_short()
 
-    def writes_values(self) -> bool:
-        """Whether a large value is being written to a client."""
-        return any(client.writes_value() for client in self.clients)
+    def writes_answers(self) -> bool:
+        """Whether a large value is being written to a client, or the system has not accepted all of an answer."""
+        return any(client.writes_value() or client.queued_bytes for client in self.clients)
 
     def resume_accepting(self) -> None:
         """Resumes accepting once sockets are available."""
--- a/ternquay/net/serve.py
+++ b/ternquay/net/serve.py
@@ -317,7 +317,7 @@
             after_answers_sent(
                 self.reactor,
                 self.frontend.owes_answers,
-                self.frontend.writes_values,
+                self.frontend.writes_answers,
                 self.limits.flush_timeout,
                 self._exit,
             )
