A tenant that ends answers what came behind a value before it is removed

Callers of a tenant that was ended while a large value was on its way lost the requests that they had written behind it, as the value ended after the time of the tenant's end (its longest time limit and 1 s): the next look found nothing being written and removed the tenant, before what was postponed had begun.

Change: the last second of that time counts anew from the last moment in which answers were being written.

Measured: the test fails before on a simulated clock (has_ended in the turn in which the value ends) and passes. Not played on processes.

--- a/ternquay/hosted/tenants/runtime.py
+++ b/ternquay/hosted/tenants/runtime.py
@@ -335,6 +335,7 @@
         self.start_times = StartTimes(resources.wall_clock_offset)
         self.discovery: Discovery | None = None
         self.ending_since = 0  # 0: not ending
+        self.writing_until = 0  # while ending: when answers were last being written
 
     # ---- start, changes and end ----
 
@@ -417,7 +418,8 @@
     def has_ended(self) -> bool:
         """Whether the tenant is ending and has nothing open any more, or has been ending for too long.
 
-        A large value under way is waited for. One that stands still ends by the stall timeouts.
+        Answers that are being written are waited for. Clients that take none, and large values that stand still, end by
+        the stall timeouts.
         """
         if not self.ending_since:
             return False
@@ -427,7 +429,10 @@
             return waited > MAX_END_NS
         if not self.frontend.clients and not self.dispatcher.open_txs:
             return True
-        return waited > longest + SECOND and not self.frontend.writes_answers()
+        if self.frontend.writes_answers():
+            self.writing_until = self.dispatcher.now()  # requests may wait behind a large value
+        last_due = max(self.ending_since + longest, self.writing_until)
+        return self.dispatcher.now() - last_due > SECOND
 
     def remove(self) -> None:
         """Closes everything; the tenant exists no longer."""
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -302,6 +302,34 @@
     assert len(written(net, "client 0")) >= 100 and client.lost and "sur" not in net.host.runtimes
 
 
+# Guards against: the end of a tenant drops the requests that came behind a value as the value ends.
+def test_a_tenant_that_ends_answers_what_came_behind_a_value() -> None:
+    net = HostedNet()
+    net.start_turn()
+    client = net.client()
+    client.feed(mg(1))
+    value = net.accept()
+    value.feed(b"VA %d O1\r\n" % HOSTED_VALUE_BYTES + b"x" * 70_000)
+    net.run(300)
+    net.start_turn()
+    client.feed(mg(2))
+    assert client.protocol.postponed
+    net.host.change(SetState("sur", State.ENDING))
+    sweeps_at_value_end(net, value)
+    lines = first_lines(net)
+    assert len(lines) == 3 and lines[2].startswith(b"SERVER_ERROR busy"), net.trace
+    net.run(2000)
+    assert client.lost and "sur" not in net.host.runtimes
+
+
+def sweeps_at_value_end(net: HostedNet, value: Wire) -> None:
+    """Ends the value long after the time of a tenant's end, and looks for its end in the same turn."""
+    net.run(7000)
+    value.feed(b"x" * 20_000 + b"\r\n")
+    assert not net.runtime.has_ended()
+    net.run(300)
+
+
 # ---- the parts ----
 
 
