The soak makes slow transfers, and judges a value that is cut off

A value that was cut off passed as begun and failed, though no cache host of the soak breaks one off; now only the kill may cut it off.

--- a/tests/fault_soak.py
+++ b/tests/fault_soak.py
@@ -1,4 +1,4 @@
-"""A soak of one balancer's process: drawn traffic, hosts, crowds and a series of signals, up to a kill.
+"""A soak of one balancer's process: drawn traffic, hosts, slow transfers, crowds and a series of signals, up to a kill.
 
     python -m tests.fault_soak --seed 1 --seeds 50
 
@@ -19,7 +19,6 @@
     MEMORY_SAMPLE_S,
     Answer,
     BalancerProcess,
-    CacheHost,
     Client,
     Command,
     Reply,
@@ -32,11 +31,14 @@
     whole_answer,
     write,
 )
+from tests.slow_transfers import Half, Lane, SlowHost, Transfer, describe, draw_transfers
+from tests.slow_transfers import judge as judge_transfer
 
 KILL_AFTER_S = 0.7  # beyond the longest time that a client waits
 LONGEST_COUNTED_S = 3.0
 LATE_S = 0.55
 CROSSING_S = 0.2  # a request that was written so shortly before a close may not have been read
+KILL_MARGIN_S = 0.1  # what was given so shortly before the kill may not have arrived
 CROWDS = ("none", "none", "silent", "stops", "unread", "slow")
 
 
@@ -55,6 +57,7 @@
     signals: list[tuple[float, signal.Signals]]  # before SIGTERM, by time
     term_at: float
     second_term_after: float  # 0: there is none
+    transfers: list[Transfer]  # that cache hosts make slowly, at times up to SIGTERM
     overdue_revenue: float  # of answers after the service goal: above 0, requests may last as long as clients wait
 
 
@@ -80,6 +83,7 @@
         term_at=term_at,
         second_term_after=random.choice((0.0, 0.1, 0.6)),
         overdue_revenue=random.choice((0.0, 0.4)),
+        transfers=draw_transfers(Half.ANSWER, random, False, 8) + draw_transfers(Half.REQUEST, random, False, 4),
     )
 
 
@@ -164,7 +168,7 @@
         await client.reader.read()
 
 
-def judge(traffic: Traffic, hosts: list[CacheHost], killed_at: float) -> list[str]:
+def judge(traffic: Traffic, hosts: list[SlowHost], killed_at: float) -> list[str]:
     """Returns what broke a rule."""
     found = []
     for reply, profile_name, wait_ms in traffic.replies:
@@ -172,8 +176,10 @@
         tag = f"{profile_name} {reply.id}"
         due = reply.sent_at + wait_ms / 1000
         if reply.line == b"cut off":
-            continue  # begun, and the client can tell that it is not whole
-        if not reply.line:
+            # No cache host breaks off a value, but the kill may.
+            if reply.ended_at < killed_at - KILL_MARGIN_S:
+                found.append(f"{tag}: a sound value was cut off after {reply.wait():.2f} s")
+        elif not reply.line:
             if runs:
                 found.append(f"{tag}: forwarded, and its connection ended without an answer after {reply.wait():.2f} s")
             elif reply.wait() > CROSSING_S and reply.ended_at < killed_at + 1:
@@ -197,11 +203,13 @@
     ]
     for one in profiles:
         one["OverdueRevenue"] = plan.overdue_revenue
-    hosts = [await CacheHost(f"h{n}", drawn_answer(plan.random, plan.goal_ms)).start() for n in range(4)]
+    hosts = [SlowHost(f"h{n}", drawn_answer(plan.random, plan.goal_ms)) for n in range(4)]
+    for host in hosts:
+        await host.start()
     held = socket.create_server(free_address(), backlog=1024) if plan.inherited else None
     if held is not None:
         held.set_inheritable(True)
-    process = BalancerProcess(hosts, plan.memory_mb, plan.sockets, held, facts=settings(Profiles=profiles))
+    process = BalancerProcess(list(hosts), plan.memory_mb, plan.sockets, held, facts=settings(Profiles=profiles))
     found: list[str] = []
     peak = [0.0]
     tasks: list[asyncio.Task[None]] = []
@@ -211,6 +219,9 @@
         tasks.append(asyncio.ensure_future(watch_memory([process], peak)))
         traffic = Traffic(process, plan)
         clients = [asyncio.ensure_future(traffic.client(n)) for n in range(plan.clients)]
+        lanes = [Lane(process.listen, f"t{n:05d}", transfer) for n, transfer in enumerate(plan.transfers)]
+        starts = [plan.term_at * (number + 0.5) / len(lanes) for number in range(len(lanes))]
+        transferring = [asyncio.ensure_future(lane.run(began, at)) for lane, at in zip(lanes, starts, strict=True)]
         if plan.crowd != "none":
             size = min(300, plan.sockets)
             tasks += [asyncio.ensure_future(crowd_client(plan, process, n)) for n in range(size)]
@@ -234,8 +245,10 @@
         process.end()
         killed_at = time.monotonic()
         traffic.over = True
-        await asyncio.wait(clients, timeout=2)
+        await asyncio.wait(clients + transferring, timeout=2)
         found += judge(traffic, hosts, killed_at)
+        for lane in lanes:
+            found += [f"{describe(lane.transfer)}: {text}" for text in judge_transfer(lane, hosts, killed_at)]
         code = process.process.returncode if process.process is not None else 0
         if not was_killed and code:
             found.append(f"ended with {code} after SIGTERM: {process.log()[-300:]}")
@@ -243,7 +256,7 @@
             found.append(f"memory: {peak[0]:.1f} MB resident, {plan.memory_mb} allowed")
         if "violation:" in process.log() or "Traceback" in process.log():
             found.append(f"log: {process.log()[-500:]}")
-        tasks += clients
+        tasks += clients + transferring
     except StartError as fault:
         found.append(f"start: {fault}")
     finally:
--- a/tests/slow_transfers.py
+++ b/tests/slow_transfers.py
@@ -23,6 +23,7 @@
 
 from tests.fault_harness import (
     HOSTED_PROGRAM_MB,
+    Answer,
     BalancerProcess,
     CacheHost,
     Client,
@@ -132,18 +133,24 @@
     cut_at: float = 0.0  # the balancer closed the connection before all was given
 
 
+async def answer_at_once(command: Command, writer: asyncio.StreamWriter) -> None:
+    """Answers after 10 ms, to keys that ask for it 0.3 s later."""
+    await asyncio.sleep(0.3 if command.key.startswith("later") else 0.01)
+    writer.write(whole_answer(command))
+
+
 class SlowHost(CacheHost):
     """A cache host that gives and takes the values of keys that name a pace slowly, and all others at once."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, other_answer: Answer | None = None) -> None:
         super().__init__(name, self._answer, read_bytes_per_s=FULL_SPEED)
+        self.other_answer = other_answer or answer_at_once  # to keys that name no pace
         self.given: dict[str, list[Given]] = {}
 
     async def _answer(self, command: Command, writer: asyncio.StreamWriter) -> None:
         pace = Pace.of_key(command.key)
         if pace is None or command.verb == b"ms":
-            await asyncio.sleep(0.3 if command.key.startswith("later") else 0.01)
-            writer.write(whole_answer(command))
+            await self.other_answer(command, writer)
             return
         await asyncio.sleep(0.03)
         given = Given(time.monotonic())
