--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -423,22 +423,24 @@
     def begin_unverified(self) -> None:
         """Begins the requests that were read from an old backlog if all of it is read and the client is there."""
         waiting, self.unverified = self.unverified, []
-        if self.ended:
+        # What is still unread may have a close behind it.
+        self._begin_waiting(waiting, RequestRefusal.BACKLOG if self._peek() else None)
+
+    def _begin_waiting(self, waiting: list[PostponedRequest], refusal: RequestRefusal | None) -> None:
+        """Begins requests that waited, or refuses them if there is a reason, where their client is still there."""
+        if self.ended or not waiting:
             return
         if self.peer_closed():
             self.client_departed()
             return
-        now = self.frontend.dispatcher.now()
-        more_unread = bool(self._peek())
-        if not more_unread:
-            self.seen_at = now
+        self.seen_at = self.connected_at()
         for request in waiting:
             if request.pending_answer.answer is not None or self.ended:
                 continue
-            if more_unread:
-                self.refuse(request.pending_answer, RequestRefusal.BACKLOG)
-            else:
+            if refusal is None:
                 self.begin_or_postpone(request)
+            else:
+                self.refuse(request.pending_answer, refusal)
 
     # ---- requests behind a large value ----
 
@@ -470,15 +472,7 @@
     def begin_postponed(self) -> None:
         """Begins the requests behind a value that has arrived completely."""
         waiting, self.postponed = self.postponed, []
-        if self.ended or not waiting:
-            return
-        if self.peer_closed():
-            self.client_departed()
-            return
-        self.seen_at = self.connected_at()
-        for request in waiting:
-            if request.pending_answer.answer is None and not self.ended:
-                self.begin_or_postpone(request)
+        self._begin_waiting(waiting, None)
 
     def may_get_more_requests(self) -> bool:
         """Whether requests wait behind the first answer, or are likely to come before it is written."""
--- a/ternquay/net/dispatcher.py
+++ b/ternquay/net/dispatcher.py
@@ -259,20 +259,22 @@
 
     def needs_idempotency_key(self, profile: str) -> bool:
         """Whether a write of this profile is known by its key, without which a repeat could run twice."""
-        index = self.names.profiles.get(profile)
-        return index is not None and self.config.profiles[index].semantics is m.Semantics.JOURNALLED
+        settings = self._profile_settings(profile)
+        return settings is not None and settings.semantics is m.Semantics.JOURNALLED
 
     def is_idempotent(self, profile: str) -> bool:
         """Whether a transaction of this profile may run again."""
-        index = self.names.profiles.get(profile)
-        return index is not None and self.config.profiles[index].semantics is m.Semantics.IDEMPOTENT
+        settings = self._profile_settings(profile)
+        return settings is not None and settings.semantics is m.Semantics.IDEMPOTENT
 
     def time_limits(self, profile: str) -> TimeLimits:
         """Returns the time limits of a transaction of this profile, 0 if there is no such profile."""
+        settings = self._profile_settings(profile)
+        return TimeLimits(settings.service_goal, settings.hard_limit) if settings is not None else TimeLimits(0, 0)
+
+    def _profile_settings(self, profile: str) -> m.Profile | None:
         index = self.names.profiles.get(profile)
-        if index is None:
-            return TimeLimits(0, 0)
-        return TimeLimits(self.config.profiles[index].service_goal, self.config.profiles[index].hard_limit)
+        return self.config.profiles[index] if index is not None else None
 
     def tx_arrived(self, arrival: IncomingTx, requester: Requester) -> int:
         """Accepts a transaction and returns its id, or UNKNOWN_PROFILE or KNOWN_REQUEST_ID.
--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from ternquay.net import meta
+from ternquay.net.dispatcher import DelayedCall, cancel_call
 from ternquay.net.limits import MS
 from ternquay.net.safety import RequestRefusal
 from ternquay.net.value_hold import HoldState, ValueHold, begin_hold
@@ -24,6 +25,7 @@
         "stream",
         "value_begun",
         "hold",
+        "hold_call",
         "due",
         "early_until",
         "committed_at",
@@ -37,6 +39,7 @@
         self.stream: ValueStream | None = None  # a large value of the answer, as it arrives
         self.value_begun = False  # its first line was written
         self.hold: ValueHold | None = None  # while the value is kept until it is whole
+        self.hold_call: DelayedCall | None = None  # at the end of the hold
         self.due = self.early_until = 0  # when its client stops waiting; until when an answer is early
         self.committed_at = 0  # when the value began to arrive
         self.tx = -1
@@ -72,7 +75,10 @@
         now = self.dispatcher.now()
         if self.hold is None or (needed and not self.hold.needed):
             self._start_hold(stream, now, needed)
-        return HoldState.PASS_ON if self.hold is None else self.hold.state(stream, now)
+        state = HoldState.PASS_ON if self.hold is None else self.hold.state(stream, now)
+        if state is not HoldState.KEEP:
+            cancel_call(self.hold_call)
+        return state
 
     def _start_hold(self, stream: ValueStream, now: int, needed: bool) -> None:
         """Starts or extends the hold, if there is time and memory for it."""
@@ -84,7 +90,9 @@
             self.hold = begin_hold(now, time_left, needed)
         else:
             self.hold.extend(time_left)
-        self.dispatcher.call_at(self.hold.until + MS, self.client.flush)  # later than `until`, also when rounded
+        cancel_call(self.hold_call)
+        # Later than `until`, also when rounded.
+        self.hold_call = self.dispatcher.call_at(self.hold.until + MS, self.client.flush)
 
     def fail_value(self) -> None:
         """Answers with an error in place of a large value of which nothing was passed on."""
