How a kept value ended, and why one was refused, shows in metrics, events and the log

Change: values_kept_total counts holds that ended whole, incomplete or broken, the last two as events with the request's id; refusals for reasons of large values, and a connection to a cache host that is closed for want of a taker, have a log line (at most one of each a second) or an event.

--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -6,7 +6,7 @@
 from ternquay.net import meta
 from ternquay.net.dispatcher import DelayedCall, cancel_call
 from ternquay.net.limits import MS
-from ternquay.net.safety import RequestRefusal
+from ternquay.net.safety import HoldEnd, RequestRefusal
 from ternquay.net.value_hold import HoldState, ValueHold, begin_hold
 from ternquay.net.value_stream import ValueStream
 
@@ -71,15 +71,21 @@
     def hold_state(self, stream: ValueStream, needed: bool) -> HoldState:
         """Returns whether the large value is kept until it is whole. `needed`: requests wait behind it."""
         if stream.aborted:
+            self._hold_ended(HoldEnd.BROKEN)
             return HoldState.FAIL
         now = self.dispatcher.now()
         if self.hold is None or (needed and not self.hold.needed):
             self._start_hold(stream, now, needed)
         state = HoldState.PASS_ON if self.hold is None else self.hold.state(stream, now)
-        if state is not HoldState.KEEP:
-            cancel_call(self.hold_call)
+        if state is HoldState.PASS_ON:
+            self._hold_ended(HoldEnd.WHOLE if stream.complete else HoldEnd.INCOMPLETE)
         return state
 
+    def _hold_ended(self, end: HoldEnd) -> None:
+        cancel_call(self.hold_call)
+        if self.hold is not None:
+            self.client.frontend.safety.record_hold_end(end, self.id)
+
     def _start_hold(self, stream: ValueStream, now: int, needed: bool) -> None:
         """Starts or extends the hold, if there is time and memory for it."""
         # The time for which it waited behind other answers does not count.
--- a/ternquay/net/safety.py
+++ b/ternquay/net/safety.py
@@ -72,6 +72,14 @@
     VALUE_BROKEN = "its value broke off before the first byte was passed on"
 
 
+class HoldEnd(StrEnum):
+    """How the time ended for which a large value was kept to become whole."""
+
+    WHOLE = "it was whole"
+    INCOMPLETE = "a part of it was passed on before the rest had come"
+    BROKEN = "its cache host broke it off"
+
+
 class Violation(StrEnum):
     """A safety rule that this process broke."""
 
@@ -84,6 +92,11 @@
 UNCONDITIONAL_CLOSES = frozenset({CloseReason.ANSWERS_UNREAD, CloseReason.REMOVED})
 # Routine closes are counted but not logged.
 ROUTINE_CLOSES = frozenset({CloseReason.IDLE, CloseReason.LEAVING})
+# These end a value or a response that was still arriving.
+CUTTING_SERVER_CLOSES = frozenset(
+    {ServerCloseReason.BAD_ANSWER, ServerCloseReason.VALUE_STOPPED, ServerCloseReason.VALUE_UNWANTED}
+)
+VALUE_REFUSALS = frozenset({RequestRefusal.VALUE_HELD, RequestRefusal.VALUE_AHEAD, RequestRefusal.VALUE_BROKEN})
 
 
 class Attempt(NamedTuple):
@@ -150,6 +163,7 @@
         self.server_closes: Counter[ServerCloseReason] = Counter()
         self.attempt_refusals: Counter[AttemptRefusal] = Counter()
         self.request_refusals: Counter[RequestRefusal] = Counter()
+        self.hold_ends: Counter[HoldEnd] = Counter()
         self.violations: Counter[Violation] = Counter()
         self.retries = self.known_request_ids = 0
         self.events: deque[Event] = deque(maxlen=MAX_EVENTS)
@@ -185,14 +199,24 @@
     def record_server_close(self, reason: ServerCloseReason) -> None:
         """Records that a connection to a cache host is closed."""
         self.server_closes[reason] += 1
-        if reason in (ServerCloseReason.BAD_ANSWER, ServerCloseReason.VALUE_STOPPED):
+        if reason in CUTTING_SERVER_CLOSES:
             self._record_event("server connection closed", reason, "")
+        if reason is ServerCloseReason.VALUE_UNWANTED:  # the others have a warning that names the cache host
+            self.log("INFO", f"closed a connection to a cache host: {reason.value}")
 
     def record_request_refusal(self, reason: RequestRefusal, request: Callable[[], str]) -> None:
         """Records that a request is refused. It has not run, so a retry is safe."""
         self.request_refusals[reason] += 1
         if reason is not RequestRefusal.DECISIONS:  # too frequent: these would displace all other events
             self._record_event("request refused", reason, request())
+        if reason in VALUE_REFUSALS:
+            self.log("INFO", f"refused a request: {reason.value}")
+
+    def record_hold_end(self, end: HoldEnd, request: Callable[[], str]) -> None:
+        """Records how the time ended for which a large value was kept to become whole."""
+        self.hold_ends[end] += 1
+        if end is not HoldEnd.WHOLE:
+            self._record_event("value kept", end, request())
 
     def record_known_request_id(self, request: Callable[[], str]) -> None:
         """Records that a request was not accepted, as its id is open or may have run."""
@@ -215,6 +239,7 @@
                 *metric_lines("server_closes", self.server_closes, ServerCloseReason),
                 *metric_lines("attempts_not_begun", self.attempt_refusals, AttemptRefusal),
                 *metric_lines("requests_refused", self.request_refusals, RequestRefusal),
+                *metric_lines("values_kept", self.hold_ends, HoldEnd),
                 *metric_lines("violations", self.violations, Violation),
             ]
         )
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -12,7 +12,7 @@
 from ternquay.hosted.tenants.registry import SetState
 from ternquay.hosted.tenants.runtime import PreparedListeners
 from ternquay.hosted.tenants.tenant import State
-from ternquay.net.safety import RequestRefusal
+from ternquay.net.safety import HoldEnd, RequestRefusal
 from ternquay.net.value_hold import MAX_HOLD_NS, MS, HoldState, begin_hold
 from ternquay.net.value_stream import StreamBudget, ValueStream
 from tests.fault_harness import (
@@ -125,6 +125,8 @@
     value.feed(b"0123456789" * 2 + b"\r\n")
     assert first_lines(net) == [b"VA 30 O1", b"0123456789" * 3, b"HD O2 cdone"] and not client.lost, net.trace
     assert not net.dispatcher.streams.kept_bytes and not net.dispatcher.safety.violations
+    assert net.dispatcher.safety.hold_ends == {HoldEnd.INCOMPLETE: 1}
+    assert "value kept: a part of it was passed on before the rest had come 1" in net.dispatcher.safety.recent_events()
 
 
 # Guards against: the same in the hosted service.
