A value is kept no longer than up to the last answers of a planned end

Callers whose read stood behind a large request lost it, and what was behind it, at a kill 3.7 s after SIGTERM: the large request was refused a third of a second before the exit, the value's turn came then, and it was kept for its full hold.

Change: a hold that begins after SIGTERM ends at the time of the last answers at the latest (Dispatcher.answer_deadline), when the value is passed on.

--- a/ternquay/net/pending_answer.py
+++ b/ternquay/net/pending_answer.py
@@ -96,6 +96,8 @@
             self.hold = begin_hold(now, time_left, needed)
         else:
             self.hold.extend(time_left)
+        if self.dispatcher.answer_deadline:
+            self.hold.until = min(self.hold.until, self.dispatcher.answer_deadline)
         cancel_call(self.hold_call)
         # Later than `until`, also when rounded.
         self.hold_call = self.dispatcher.call_at(self.hold.until + MS, self.client.flush)
--- a/tests/test_broken_values.py
+++ b/tests/test_broken_values.py
@@ -145,6 +145,19 @@
     assert first_lines(net)[2:] == [b"VA 3 O2", b"val"] and not client.lost
 
 
+# Guards against: a value that is kept as the process ends is still unanswered when it is killed.
+def test_a_value_is_kept_no_longer_than_up_to_the_last_answers_of_a_planned_end() -> None:
+    net, client, value, other = read_and_write()
+    other.feed(b"HD O2 cdone\r\n")
+    now = net.dispatcher.now()
+    net.dispatcher.answer_all_by(now + 300 * MS, now + 100 * MS)
+    value.feed(b"VA 30 O1\r\n0123456789")
+    net.run(295)
+    assert not first_lines(net)
+    net.run(10)
+    assert first_lines(net) == [b"VA 30 O1", b"0123456789"] and not client.lost, net.trace
+
+
 def test_a_value_behind_another_answer_may_break_off_without_a_loss() -> None:
     net = Net(limits=SMALL)
     client = net.client()
