A connection that ended with requests still unverified raises no exception

Seen: test_nothing_is_sent_on_for_a_client_that_closed_behind_unread_requests failed once beside six other tests: a traceback in the log (BackoffServer has no socket).

No answer was lost by it: nothing was owed on such a connection.

--- a/ternquay/net/client.py
+++ b/ternquay/net/client.py
@@ -423,24 +423,27 @@
     def begin_unverified(self) -> None:
         """Begins the requests that were read from an old backlog if all of it is read and the client is there."""
         waiting, self.unverified = self.unverified, []
-        # What is still unread may have a close behind it.
-        self._begin_waiting(waiting, RequestRefusal.BACKLOG if self._peek() else None)
+        self._begin_waiting(waiting, refuse_if_unread=True)
 
-    def _begin_waiting(self, waiting: list[PostponedRequest], refusal: RequestRefusal | None) -> None:
-        """Begins requests that waited, or refuses them if there is a reason, where their client is still there."""
+    def _begin_waiting(self, waiting: list[PostponedRequest], refuse_if_unread: bool) -> None:
+        """Begins requests that waited, if their client is still there.
+
+        `refuse_if_unread`: refuses them if more is unread, as the client may have closed behind that.
+        """
         if self.ended or not waiting:
             return
         if self.peer_closed():
             self.client_departed()
             return
+        refused = refuse_if_unread and bool(self._peek())
         self.seen_at = self.connected_at()
         for request in waiting:
             if request.pending_answer.answer is not None or self.ended:
                 continue
-            if refusal is None:
-                self.begin_or_postpone(request)
+            if refused:
+                self.refuse(request.pending_answer, RequestRefusal.BACKLOG)
             else:
-                self.refuse(request.pending_answer, refusal)
+                self.begin_or_postpone(request)
 
     # ---- requests behind a large value ----
 
@@ -472,7 +475,7 @@
     def begin_postponed(self) -> None:
         """Begins the requests behind a value that has arrived completely."""
         waiting, self.postponed = self.postponed, []
-        self._begin_waiting(waiting, None)
+        self._begin_waiting(waiting, refuse_if_unread=False)
 
     def may_get_more_requests(self) -> bool:
         """Whether requests wait behind the first answer, or are likely to come before it is written."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -21,6 +21,7 @@
 
 from ternquay.net.config import read_config
 from ternquay.net.discovery import Discovery
+from ternquay.net.limits import MS
 from ternquay.net.listing import Address
 from ternquay.net.serve import Service
 from ternquay.net.start_times import StartTimes
@@ -438,6 +439,23 @@
     assert not client.lost and not host.lost
 
 
+# Guards against: an exception for each connection that ends while its requests wait to be begun.
+def test_requests_of_an_old_backlog_end_with_their_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    net = Net()
+    client = net.client()
+    client.protocol.backlog.record_pause(net.dispatcher.now() - 100 * MS)
+    client.feed(mg(1))
+    assert client.protocol.unverified
+    client.end()
+
+    def closed_handle() -> None:
+        raise AttributeError("a closed transport has no socket")
+
+    monkeypatch.setattr(client, "getHandle", closed_handle)
+    net.run(10)
+    assert not client.protocol.unverified and not sent_commands(net)
+
+
 # ---- end of the process ----
 
 
