--- a/ternquay/net/closing.py
+++ b/ternquay/net/closing.py
@@ -111,9 +111,10 @@
     def check() -> None:
         nonlocal until
         now = reactor.seconds()
-        if writes_answers():
+        writing = writes_answers()
+        if writing:
             until = now + timeout / SECOND
-        if now < until and (writes_answers() or owes_answers()):
+        if writing or (now < until and owes_answers()):
             reactor.callLater(POLL_INTERVAL_SECONDS, check)
         else:
             then()
